--- /dev/null
+++ b/src/net/driver.rs
@@ -0,0 +1,460 @@
+//! The decision module's surroundings: events go in here and actions come out,
+//! in order. Everything runs on one thread, so a turn is never interrupted.
+
+use crate::net::clock::Clock;
+use crate::net::config::Config;
+use crate::net::discovery::{self, Fleet};
+use crate::net::limits::Limits;
+use crate::net::message::{parse_report, Held};
+use crate::net::peers::Peers;
+use crate::net::probe::Probing;
+use crate::net::upstream::{Answer, AnswerBody, Ended, Upstream};
+use eiderusher::api::*;
+use eiderusher::decide::Balancer;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::Request;
+use std::cell::RefCell;
+use std::collections::{HashMap, VecDeque};
+use std::future::poll_fn;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::time::DelayQueue;
+
+/// Tells a server how long this sidecar will wait.
+const REMAINING: HeaderName = HeaderName::from_static("x-remaining-ms");
+
+/// What a client is told in the end.
+pub enum Reply {
+    /// The server's answer.
+    Served(Answer),
+    /// Trying again is harmless, after a while.
+    Refused(Nanos),
+    /// Nothing is promised.
+    Failed,
+}
+
+/// What the decision module is told of a request.
+pub struct Arrival {
+    /// Its class.
+    pub class: u32,
+    /// Its tenant.
+    pub tenant: u32,
+    /// What it concerns.
+    pub key: Option<u64>,
+    /// Expected work, if known.
+    pub cost_hint: Option<Nanos>,
+    /// Marked by the client as a repeat.
+    pub repeat: bool,
+    /// How long the client waits.
+    pub patience: Nanos,
+}
+
+/// A request from its last byte to its final answer and its last attempt.
+struct Taken {
+    message: Request<Held>,
+    deadline: Nanos,
+    /// Absent once the client has its answer, or has left.
+    reply: Option<oneshot::Sender<Reply>>,
+    attempts: Vec<Attempt>,
+    out: usize,
+}
+
+struct Attempt {
+    server: ServerId,
+    sent: Nanos,
+    /// When its answer's stream began.
+    streamed: Option<Nanos>,
+    cancel: CancellationToken,
+}
+
+struct Core {
+    balancer: Balancer,
+    taken: HashMap<RequestId, Taken>,
+    events: VecDeque<Event>,
+    timers: DelayQueue<u64>,
+    last_id: u64,
+    watch: Option<AbortHandle>,
+}
+
+/// Feeds the decision module and carries out what it decides.
+pub struct Driver {
+    core: RefCell<Core>,
+    /// The servers by number.
+    pub fleet: RefCell<Fleet>,
+    clock: Clock,
+    upstream: Rc<Upstream>,
+    probing: Probing,
+    peers: Option<Peers>,
+    discovery: SocketAddr,
+    max_attempts: usize,
+    /// Fields of the load reports in answers.
+    report_fields: Option<Vec<String>>,
+}
+
+impl Driver {
+    /// Starts an instance of the decision module.
+    pub fn start(config: &Config, limits: &Limits, peers: Option<Peers>) -> Rc<Self> {
+        let settings = &config.settings;
+        let clock = Clock::start();
+        let connect_timeout = Duration::from_nanos(settings.connect_timeout);
+        let idle_timeout = Duration::from_nanos(settings.idle_timeout);
+        let fields = config.names.report.clone();
+        let mode = settings.report_mode;
+        let mut actions = Vec::new();
+        let balancer =
+            Balancer::new(settings.clone(), config.seed, clock.now(), &mut actions);
+        let driver = Rc::new(Driver {
+            core: RefCell::new(Core {
+                balancer,
+                taken: HashMap::new(),
+                events: VecDeque::new(),
+                timers: DelayQueue::new(),
+                last_id: 0,
+                watch: None,
+            }),
+            fleet: RefCell::new(Fleet::new(config.names.clone())),
+            clock,
+            upstream: Rc::new(Upstream::new(limits, connect_timeout, idle_timeout)),
+            probing: Probing {
+                fields: if mode == ReportMode::Absent { Vec::new() } else { fields.clone() },
+                timeout: connect_timeout,
+            },
+            peers: peers.filter(|_| settings.peers),
+            discovery: config.discovery,
+            max_attempts: settings.max_attempts as usize,
+            report_fields: (mode == ReportMode::Answers).then_some(fields),
+        });
+        driver.perform(&mut driver.core.borrow_mut(), actions);
+        let known = config.known.as_deref();
+        let servers = known.and_then(|text| driver.fleet.borrow_mut().take_known(text));
+        driver.listed(ListKind::Cached, servers.unwrap_or_default());
+        if !settings.must_ask {
+            spawn_local(discovery::follow(driver.clone(), config.discovery));
+        }
+        driver
+    }
+
+    /// Runs what goes by the clock: timers, tidying, and peers' messages.
+    pub async fn run(self: &Rc<Self>) {
+        const SWEEP: Duration = Duration::from_secs(1);
+        let timers = async {
+            while let Some(token) = self.next_timer().await {
+                self.post(Event::Timer { token });
+            }
+        };
+        let sweep = async {
+            loop {
+                tokio::time::sleep(SWEEP).await;
+                self.upstream.sweep();
+            }
+        };
+        let listen = async {
+            if let Some(peers) = &self.peers {
+                peers.listen(self).await;
+            }
+        };
+        tokio::join!(timers, sweep, listen);
+    }
+
+    async fn next_timer(&self) -> Option<u64> {
+        poll_fn(|cx| {
+            let expired = self.core.borrow_mut().timers.poll_expired(cx);
+            match expired {
+                std::task::Poll::Ready(Some(expired)) => {
+                    std::task::Poll::Ready(Some(expired.into_inner()))
+                }
+                // An empty queue wakes this task when a timer is set.
+                _ => std::task::Poll::Pending,
+            }
+        })
+        .await
+    }
+
+    /// Takes one event, and carries out all that follows from it.
+    pub fn post(self: &Rc<Self>, event: Event) {
+        let mut core = self.core.borrow_mut();
+        core.events.push_back(event);
+        self.turn(&mut core);
+    }
+
+    fn turn(self: &Rc<Self>, core: &mut Core) {
+        while let Some(event) = core.events.pop_front() {
+            let mut actions = Vec::new();
+            core.balancer.handle(self.clock.now(), event, &mut actions);
+            self.perform(core, actions);
+        }
+    }
+
+    fn perform(self: &Rc<Self>, core: &mut Core, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { id, server, timeout_at } => self.send(core, id, server, timeout_at),
+                Action::Cancel { id, attempt } => {
+                    let taken = core.taken.get(&id);
+                    if let Some(attempt) = taken.and_then(|t| t.attempts.get(attempt as usize)) {
+                        attempt.cancel.cancel();
+                    }
+                }
+                Action::Refuse { id, retry_after } => {
+                    core.conclude(&id, Reply::Refused(retry_after))
+                }
+                Action::Fail { id } => core.conclude(&id, Reply::Failed),
+                Action::SetTimer { after, token } => {
+                    core.timers.insert(token, Duration::from_nanos(after));
+                }
+                Action::Probe { server } => self.probe(core, server),
+                Action::CloseIdle { server } => {
+                    if let Some(address) = self.fleet.borrow().address(server) {
+                        self.upstream.close_idle(address);
+                    }
+                }
+                Action::TellPeer { peer, payload } => {
+                    if let Some(peers) = &self.peers {
+                        peers.tell(peer, &payload);
+                    }
+                }
+                Action::Watch { on } => {
+                    if let Some(watch) = core.watch.take() {
+                        watch.abort();
+                    }
+                    if on {
+                        let watch = discovery::watch(self.clone(), self.discovery);
+                        core.watch = Some(spawn_local(watch).abort_handle());
+                    }
+                }
+                Action::FetchServers => {
+                    spawn_local(discovery::fetch(self.clone(), self.discovery));
+                }
+                // A log that nobody reads must not stop the sidecar.
+                Action::Log { text } => drop(writeln!(std::io::stderr(), "{text}")),
+            }
+        }
+    }
+
+    // ------------------------------------------------------------ requests
+
+    /// Hands a client's request to the module and waits for the final answer.
+    /// Dropping the future tells the module that the client has left.
+    pub async fn serve(self: &Rc<Self>, arrival: Arrival, message: Request<Held>) -> Reply {
+        let (reply, answer) = oneshot::channel();
+        let id: RequestId = {
+            let mut core = self.core.borrow_mut();
+            core.last_id += 1;
+            let id: RequestId = core.last_id.to_string().into();
+            let deadline = self.clock.now().saturating_add(arrival.patience);
+            let taken =
+                Taken { message, deadline, reply: Some(reply), attempts: Vec::new(), out: 0 };
+            core.taken.insert(id.clone(), taken);
+            core.events.push_back(Event::Request {
+                id: id.clone(),
+                class: arrival.class,
+                tenant: arrival.tenant,
+                key: arrival.key,
+                cost_hint: arrival.cost_hint,
+                repeat: arrival.repeat,
+                patience: arrival.patience,
+            });
+            self.turn(&mut core);
+            id
+        };
+        let _leaving = Leaving { driver: self, id };
+        answer.await.unwrap_or(Reply::Failed)
+    }
+
+    fn send(
+        self: &Rc<Self>,
+        core: &mut Core,
+        id: RequestId,
+        server: ServerId,
+        timeout_at: Nanos,
+    ) {
+        let now = self.clock.now();
+        let Some(taken) = core.taken.get_mut(&id) else { return };
+        let number = taken.attempts.len() as u32;
+        let cancel = CancellationToken::new();
+        let attempt = Attempt { server, sent: now, streamed: None, cancel: cancel.clone() };
+        let streaming = taken.attempts.iter().any(|a| a.streamed.is_some());
+        taken.attempts.push(attempt);
+        taken.out += 1;
+        let until = match timeout_at {
+            0 => taken.deadline,
+            at => at.min(taken.deadline),
+        };
+        let concluded = taken.reply.is_none();
+        let exceeded = taken.attempts.len() > self.max_attempts;
+        if concluded || streaming || exceeded || until <= now {
+            let end = core.end_attempt(&id, number, Outcome::Unused, None, now);
+            core.events.extend(end);
+            return;
+        }
+        let address = self.fleet.borrow().address(server);
+        let mut message = taken.message.clone();
+        let remaining = HeaderValue::from((until - now) / 1_000_000);
+        message.headers_mut().insert(REMAINING, remaining);
+        let until = self.clock.instant(until);
+        let attempt = AttemptRun { driver: self.clone(), id, number };
+        spawn_local(attempt.run(address, message, until, cancel));
+    }
+
+    fn attempt_ended(
+        self: &Rc<Self>,
+        id: &RequestId,
+        number: u32,
+        outcome: Outcome,
+        report: Option<Vec<f64>>,
+    ) {
+        let mut core = self.core.borrow_mut();
+        let end = core.end_attempt(id, number, outcome, report, self.clock.now());
+        core.events.extend(end);
+        self.turn(&mut core);
+    }
+
+    fn probe(self: &Rc<Self>, core: &mut Core, server: ServerId) {
+        let Some(address) = self.fleet.borrow().address(server) else {
+            let outcome = Outcome::ConnectFailed;
+            core.events.push_back(Event::Probed { server, outcome, took: 0, report: None });
+            return;
+        };
+        let driver = self.clone();
+        spawn_local(async move {
+            let sent = driver.clock.now();
+            let (outcome, report) = driver.probing.run(&driver.upstream, address).await;
+            let took = driver.clock.now() - sent;
+            driver.post(Event::Probed { server, outcome, took, report });
+        });
+    }
+
+    // ----------------------------------------------------------- discovery
+
+    /// Passes on what discovery says.
+    pub fn listed(self: &Rc<Self>, kind: ListKind, servers: Vec<ListedServer>) {
+        let version = self.fleet.borrow().version();
+        self.post(Event::Servers { kind, version, entries: servers.into() });
+    }
+
+    /// Passes on that a call to discovery failed.
+    pub fn list_failed(self: &Rc<Self>) {
+        self.listed(ListKind::Failed, Vec::new());
+    }
+}
+
+impl Core {
+    /// Gives a client its final answer.
+    fn conclude(&mut self, id: &RequestId, reply: Reply) {
+        let Some(taken) = self.taken.get_mut(id) else { return };
+        if let Some(client) = taken.reply.take() {
+            // A client that has left since needs no answer.
+            let _ = client.send(reply);
+        }
+        self.forget(id);
+    }
+
+    /// Drops a request's record once nothing more can come of it.
+    fn forget(&mut self, id: &RequestId) {
+        if self.taken.get(id).is_some_and(|t| t.reply.is_none() && t.out == 0) {
+            self.taken.remove(id);
+        }
+    }
+
+    /// Notes an attempt's end; each has exactly one.
+    fn end_attempt(
+        &mut self,
+        id: &RequestId,
+        number: u32,
+        outcome: Outcome,
+        report: Option<Vec<f64>>,
+        now: Nanos,
+    ) -> Option<Event> {
+        let taken = self.taken.get_mut(id)?;
+        let attempt = taken.attempts.get(number as usize)?;
+        taken.out -= 1;
+        // A long answer's time is that of its first bytes.
+        let took = attempt.streamed.unwrap_or(now) - attempt.sent;
+        let server = attempt.server;
+        let finished = taken.reply.is_none();
+        self.forget(id);
+        let id = id.clone();
+        Some(Event::AttemptEnded { id, attempt: number, outcome, finished, took, server, report })
+    }
+}
+
+/// One attempt on its way.
+struct AttemptRun {
+    driver: Rc<Driver>,
+    id: RequestId,
+    number: u32,
+}
+
+impl AttemptRun {
+    async fn run(
+        self,
+        server: Option<SocketAddr>,
+        message: Request<Held>,
+        until: Instant,
+        cancel: CancellationToken,
+    ) {
+        let driver = &self.driver;
+        let ended = match server {
+            Some(server) => driver.upstream.attempt(server, message, until, &cancel).await,
+            // No longer listed: nowhere to connect to.
+            None => Outcome::ConnectFailed.into(),
+        };
+        let Ended { outcome, report, answer } = ended;
+        let fields = driver.report_fields.as_deref();
+        let report = report.zip(fields).and_then(|(text, fields)| parse_report(&text, fields));
+        match answer {
+            Some(answer @ Answer { body: AnswerBody::Long(_), .. }) => self.stream(answer, report),
+            answer => {
+                if let Some(answer) = answer {
+                    let mut core = driver.core.borrow_mut();
+                    core.conclude(&self.id, Reply::Served(answer));
+                }
+                driver.attempt_ended(&self.id, self.number, outcome, report);
+            }
+        }
+    }
+
+    /// Lets a long answer go on to its client; its end is the attempt's.
+    fn stream(self, mut answer: Answer, report: Option<Vec<f64>>) {
+        let (driver, id, attempt) = (self.driver, self.id, self.number);
+        if let AnswerBody::Long(body) = &mut answer.body {
+            let (driver, id) = (driver.clone(), id.clone());
+            body.on_end(Box::new(move |outcome| {
+                // The body may be dropped in the middle of a turn.
+                spawn_local(async move { driver.attempt_ended(&id, attempt, outcome, report) });
+            }));
+        }
+        let mut core = driver.core.borrow_mut();
+        let Some(taken) = core.taken.get_mut(&id) else { return };
+        taken.attempts[attempt as usize].streamed = Some(driver.clock.now());
+        if taken.reply.is_some() {
+            core.events.push_back(Event::StreamStarted { id: id.clone(), attempt });
+            driver.turn(&mut core);
+        }
+        core.conclude(&id, Reply::Served(answer));
+    }
+}
+
+/// Tells the module of a client that left before its answer.
+struct Leaving<'a> {
+    driver: &'a Rc<Driver>,
+    id: RequestId,
+}
+
+impl Drop for Leaving<'_> {
+    fn drop(&mut self) {
+        let mut core = self.driver.core.borrow_mut();
+        let left = core.taken.get_mut(&self.id).and_then(|taken| taken.reply.take());
+        if left.is_some() {
+            core.forget(&self.id);
+            core.events.push_back(Event::Abandoned { id: self.id.clone() });
+            self.driver.turn(&mut core);
+        }
+    }
+}
--- /dev/null
+++ b/src/net/limits.rs
@@ -0,0 +1,44 @@
+//! Budgets: descriptors and the bytes of bodies held.
+
+use crate::net::config::Config;
+use std::sync::Arc;
+use tokio::sync::Semaphore;
+
+/// Descriptors that are neither clients' nor servers' connections: standard
+/// streams, the reactor's own, the signal pipe, the listener, the datagram
+/// socket, discovery's two connections, one being accepted; doubled for margin.
+const OTHER_DESCRIPTORS: usize = 32;
+/// Part of the rest that is kept for connections to servers. A client being
+/// served holds one of each; most clients are idle.
+const UPSTREAM_SHARE: f64 = 0.4;
+/// Part of the memory limit that bodies of requests may fill, past the first
+/// piece of each. The rest is for those, for the libraries' buffers (up to
+/// 64 KiB each way a connection) and for answers.
+const BODY_SHARE: f64 = 0.4;
+/// Bodies are held in pieces of this size.
+pub const PIECE: usize = 64 << 10;
+
+/// What the process may hold at one time.
+#[derive(Debug)]
+pub struct Limits {
+    /// Connections of clients.
+    pub clients: Arc<Semaphore>,
+    /// Connections to servers, idle ones too.
+    pub upstream: Arc<Semaphore>,
+    /// Pieces of requests' bodies.
+    pub body_pieces: Arc<Semaphore>,
+}
+
+impl Limits {
+    /// Divides what the configuration allows.
+    pub fn new(config: &Config) -> Self {
+        let sockets = config.sockets - OTHER_DESCRIPTORS;
+        let upstream = (sockets as f64 * UPSTREAM_SHARE) as usize;
+        let pieces = (config.memory as f64 * BODY_SHARE) as usize / PIECE;
+        Limits {
+            clients: Arc::new(Semaphore::new(sockets - upstream)),
+            upstream: Arc::new(Semaphore::new(upstream)),
+            body_pieces: Arc::new(Semaphore::new(pieces.min(Semaphore::MAX_PERMITS))),
+        }
+    }
+}
--- /dev/null
+++ b/src/net/peers.rs
@@ -0,0 +1,57 @@
+//! Datagrams between sidecars.
+
+use crate::net::driver::Driver;
+use eiderusher::api::Event;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::UdpSocket;
+
+/// Longest message.
+const LONGEST: usize = 256;
+
+/// This sidecar's way to the others.
+#[derive(Debug)]
+pub struct Peers {
+    socket: UdpSocket,
+    peers: Vec<SocketAddr>,
+    all: Option<SocketAddr>,
+}
+
+impl Peers {
+    /// Listens for messages.
+    pub async fn bind(
+        listen: SocketAddr,
+        peers: Vec<SocketAddr>,
+        all: Option<SocketAddr>,
+    ) -> io::Result<Self> {
+        let socket = UdpSocket::bind(listen).await?;
+        Ok(Peers { socket, peers, all })
+    }
+
+    /// Sends a message to one peer, or to all. Messages may be lost, so one that
+    /// cannot go at once is.
+    pub fn tell(&self, peer: Option<u32>, payload: &[u8]) {
+        let to = match peer {
+            Some(number) => self.peers.get(number as usize).copied(),
+            None => self.all,
+        };
+        if let Some(to) = to.filter(|_| payload.len() <= LONGEST) {
+            let _ = self.socket.try_send_to(payload, to);
+        }
+    }
+
+    /// Passes on what peers send; anything else is ignored.
+    pub async fn listen(&self, driver: &Rc<Driver>) {
+        let mut buffer = [0; LONGEST + 1];
+        loop {
+            // An error here tells of an earlier datagram that was not delivered.
+            let Ok((len, from)) = self.socket.recv_from(&mut buffer).await else { continue };
+            let sender = self.peers.iter().position(|peer| *peer == from);
+            if let Some(number) = sender.filter(|_| len <= LONGEST) {
+                let payload = buffer[..len].to_vec();
+                driver.post(Event::PeerMessage { from: number as u32, payload });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/socket.rs
@@ -0,0 +1,148 @@
+//! A TCP socket whose traffic can be watched, and which can be looked at and
+//! closed with care, while an HTTP library owns its other end.
+
+use bytes::{Buf, Bytes};
+use socket2::SockRef;
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{timeout_at, Instant};
+
+/// Learns what passes through a socket.
+pub trait Watcher {
+    /// So many bytes were read.
+    fn read(&self, _count: usize) {}
+    /// The kernel took these bytes.
+    fn wrote(&self, _bytes: &[u8]) {}
+    /// All that was to be written has been.
+    fn flushed(&self) {}
+}
+
+/// The socket as the HTTP library sees it.
+#[derive(Debug)]
+pub struct Socket<W> {
+    stream: Rc<TcpStream>,
+    watcher: Rc<W>,
+    /// Bytes that are to be read before the socket's own.
+    prefix: Bytes,
+}
+
+impl<W> Socket<W> {
+    /// Wraps a stream; `prefix` is read first.
+    pub fn new(stream: Rc<TcpStream>, watcher: Rc<W>, prefix: Bytes) -> Self {
+        Socket { stream, watcher, prefix }
+    }
+}
+
+impl<W: Watcher> AsyncRead for Socket<W> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.prefix.has_remaining() {
+            let count = self.prefix.remaining().min(buf.remaining());
+            buf.put_slice(&self.prefix.split_to(count));
+            self.watcher.read(count);
+            return Poll::Ready(Ok(()));
+        }
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(buf.initialize_unfilled()) {
+                Ok(count) => {
+                    buf.advance(count);
+                    self.watcher.read(count);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+}
+
+impl<W: Watcher> AsyncWrite for Socket<W> {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write(bytes) {
+                Ok(count) => {
+                    self.watcher.wrote(&bytes[..count]);
+                    return Poll::Ready(Ok(count));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.watcher.flushed();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
+    }
+}
+
+/// What waits to be read on a connection that should be silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Pending {
+    /// Nothing: the connection is up and idle.
+    Nothing,
+    /// Bytes.
+    Bytes,
+    /// Its end, or an error.
+    End,
+}
+
+/// Asks the kernel itself, since the reactor may not have heard yet.
+pub fn pending(stream: &TcpStream) -> Pending {
+    let mut byte = [MaybeUninit::uninit()];
+    match SockRef::from(stream).peek(&mut byte) {
+        Ok(0) => Pending::End,
+        Ok(_) => Pending::Bytes,
+        Err(e) if e.kind() == io::ErrorKind::WouldBlock => Pending::Nothing,
+        Err(_) => Pending::End,
+    }
+}
+
+/// How long a peer may take to close after this side has.
+const LINGER: Duration = Duration::from_secs(1);
+/// Most bytes that are read and dropped meanwhile.
+const LINGER_BYTES: usize = 1 << 20;
+
+/// Ends sending, then reads what still comes, for a while. Danger: a socket
+/// closed with bytes unread is reset, and the reset may destroy an answer that
+/// the peer has not read yet.
+pub async fn close_gently(stream: &TcpStream) {
+    if SockRef::from(stream).shutdown(Shutdown::Write).is_err() {
+        return;
+    }
+    let until = Instant::now() + LINGER;
+    let mut scratch = [0; 4096];
+    let mut left = LINGER_BYTES;
+    while left > 0 {
+        match timeout_at(until, stream.readable()).await {
+            Ok(Ok(())) => {}
+            _ => return,
+        }
+        match stream.try_read(&mut scratch) {
+            Ok(0) => return,
+            Ok(count) => left = left.saturating_sub(count),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(_) => return,
+        }
+    }
+}
--- /dev/null
+++ b/src/rng.rs
@@ -0,0 +1,33 @@
+//! Reproducible random numbers.
+
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// One instance's source of random numbers.
+#[derive(Debug)]
+pub struct Rng(Pcg64Mcg);
+
+impl Rng {
+    /// A source that gives the same numbers for the same seed.
+    pub fn new(seed: u64) -> Self {
+        Rng(Pcg64Mcg::seed_from_u64(seed))
+    }
+
+    /// A uniform number in [0, 1).
+    pub fn draw(&mut self) -> f64 {
+        (self.0.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+impl Default for Rng {
+    fn default() -> Self {
+        Rng::new(0)
+    }
+}
+
+/// Scrambles a number, the same way everywhere.
+pub fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,644 @@
+//! The line protocol: text to events, actions to text. No decisions here.
+
+use crate::api::*;
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::fmt::Write;
+use std::str::FromStr;
+use std::sync::Arc;
+
+/// What is wrong with the input, and where.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WireError {
+    /// Line number, from 1.
+    pub line: u64,
+    /// The field at fault, or the message's name.
+    pub field: String,
+    /// What is wrong.
+    pub what: String,
+}
+
+impl std::fmt::Display for WireError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "line {}: {}: {}", self.line, self.field, self.what)
+    }
+}
+
+impl std::error::Error for WireError {}
+
+/// One message of a batch.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Message {
+    /// A batch begins at this time.
+    Clock(Nanos),
+    /// Following messages are for this instance.
+    Target(u64),
+    /// The target starts.
+    Attach {
+        /// Seed of its random draws.
+        seed: u64,
+        /// Its settings.
+        settings: Box<Settings>,
+    },
+    /// The target dies.
+    Killed,
+    /// Something happened to the target.
+    Event(Event),
+    /// The batch ends.
+    YourTurn,
+}
+
+/// Reads messages line by line, keeping the numbered lists.
+#[derive(Debug, Default)]
+pub struct Reader {
+    line: u64,
+    lists: HashMap<u32, Arc<[ListedServer]>>,
+    filling: Option<(u32, usize, Vec<ListedServer>)>,
+    in_batch: bool,
+    has_target: bool,
+}
+
+const LIST_NUMBERS: u32 = 16;
+const CALLED: &[(&str, Outcome)] = &[
+    ("delivered", Outcome::Ok),
+    ("app_error", Outcome::Error),
+    ("shed", Outcome::Full),
+    ("expired", Outcome::TimedOut),
+    ("dial_failed", Outcome::ConnectFailed),
+    ("dropped", Outcome::Reset),
+    ("revoked", Outcome::Cancelled),
+    ("unused", Outcome::Unused),
+];
+const CONDITIONS: &[(&str, Condition)] =
+    &[("live", Condition::Live), ("quiescing", Condition::Draining), ("dead", Condition::Gone)];
+const LIST_KINDS: &[(&str, ListKind)] = &[
+    ("diff", ListKind::Changes),
+    ("snapshot", ListKind::Full),
+    ("disk", ListKind::Cached),
+    ("error", ListKind::Failed),
+];
+
+/// The fields of one line, taken in order by name.
+struct Fields<'a> {
+    line: u64,
+    rest: Option<&'a str>,
+}
+
+impl<'a> Fields<'a> {
+    fn err(&self, field: &str, what: impl Into<String>) -> WireError {
+        WireError { line: self.line, field: field.to_string(), what: what.into() }
+    }
+
+    fn text(&mut self, field: &str) -> Result<&'a str, WireError> {
+        self.rest.take().ok_or_else(|| self.err(field, "is missing"))
+    }
+
+    fn word(&mut self, field: &str) -> Result<&'a str, WireError> {
+        let rest = self.text(field)?;
+        let (word, rest) = match rest.split_once(' ') {
+            Some((word, rest)) => (word, Some(rest)),
+            None => (rest, None),
+        };
+        self.rest = rest;
+        if word.is_empty() {
+            return Err(self.err(field, "is empty"));
+        }
+        Ok(word)
+    }
+
+    fn optional(&mut self, field: &str) -> Result<Option<&'a str>, WireError> {
+        self.word(field).map(|w| (w != "-").then_some(w))
+    }
+
+    fn parse<T: FromStr>(&self, field: &str, word: &str) -> Result<T, WireError> {
+        word.parse().map_err(|_| self.err(field, format!("'{word}' is not a number it can take")))
+    }
+
+    fn number<T: FromStr>(&mut self, field: &str) -> Result<T, WireError> {
+        let word = self.word(field)?;
+        self.parse(field, word)
+    }
+
+    fn number_or<T: FromStr>(&mut self, field: &str, absent: T) -> Result<T, WireError> {
+        match self.optional(field)? {
+            Some(word) => self.parse(field, word),
+            None => Ok(absent),
+        }
+    }
+
+    fn finite(&self, field: &str, word: &str) -> Result<f64, WireError> {
+        let value: f64 = self.parse(field, word)?;
+        if !value.is_finite() {
+            return Err(self.err(field, format!("'{word}' is not a finite number")));
+        }
+        Ok(value)
+    }
+
+    fn one_of<T: Copy>(&mut self, field: &str, names: &[(&str, T)]) -> Result<T, WireError> {
+        let word = self.word(field)?;
+        names
+            .iter()
+            .find(|(name, _)| *name == word)
+            .map(|(_, value)| *value)
+            .ok_or_else(|| self.err(field, format!("'{word}' is not known")))
+    }
+
+    fn report(&mut self, field: &str) -> Result<Option<Vec<f64>>, WireError> {
+        let Some(word) = self.optional(field)? else {
+            return Ok(None);
+        };
+        word.split(',')
+            .map(|part| self.finite(field, part))
+            .collect::<Result<Vec<_>, _>>()
+            .map(Some)
+    }
+
+    fn bytes(&mut self, field: &str) -> Result<Vec<u8>, WireError> {
+        let Some(word) = self.optional(field)? else {
+            return Ok(Vec::new());
+        };
+        if !word.is_ascii() || word.len() % 2 != 0 {
+            return Err(self.err(field, "is not whole bytes of hex digits"));
+        }
+        (0..word.len())
+            .step_by(2)
+            .map(|at| {
+                u8::from_str_radix(&word[at..at + 2], 16)
+                    .map_err(|_| self.err(field, "is not hex digits"))
+            })
+            .collect()
+    }
+
+    fn end(&self, message: &str) -> Result<(), WireError> {
+        match self.rest {
+            None => Ok(()),
+            Some(extra) => Err(self.err(message, format!("has more than its fields: '{extra}'"))),
+        }
+    }
+}
+
+impl Reader {
+    /// A reader at the start of its input.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Lines read so far.
+    pub fn lines(&self) -> u64 {
+        self.line
+    }
+
+    /// Takes one line; lines that complete nothing yet give `None`.
+    pub fn line(&mut self, text: &str) -> Result<Option<Message>, WireError> {
+        self.line += 1;
+        let mut f = Fields { line: self.line, rest: Some(text) };
+        let name = f.word("message name")?;
+        if self.filling.is_some() && name != "server" {
+            return Err(f.err(name, "comes where a listed server is due"));
+        }
+        if !self.in_batch && name != "clock" {
+            return Err(f.err(name, "comes before a 'clock' line"));
+        }
+        let needs_target = matches!(
+            name,
+            "attach"
+                | "killed"
+                | "update"
+                | "submit"
+                | "under_way"
+                | "resolved"
+                | "abandoned"
+                | "timer"
+                | "health"
+                | "peer_data"
+        );
+        if needs_target && !self.has_target {
+            return Err(f.err(name, "comes before a 'target_instance' line"));
+        }
+        let message = match name {
+            "clock" => {
+                if self.in_batch {
+                    return Err(f.err("clock", "comes inside a batch"));
+                }
+                let now = f.number("clock")?;
+                self.in_batch = true;
+                self.has_target = false;
+                Some(Message::Clock(now))
+            }
+            "your_turn" => {
+                self.in_batch = false;
+                Some(Message::YourTurn)
+            }
+            "target_instance" => {
+                let word = f.word("i")?;
+                let number = instance_number(word)
+                    .ok_or_else(|| f.err("i", format!("'{word}' is not an instance")))?;
+                self.has_target = true;
+                Some(Message::Target(number))
+            }
+            "attach" => {
+                let seed = f.number("prng")?;
+                let settings = parse_settings(f.text("profile-data")?)
+                    .map_err(|what| f.err("profile-data", what))?;
+                Some(Message::Attach { seed, settings: Box::new(settings) })
+            }
+            "killed" => Some(Message::Killed),
+            "census" => {
+                let number: u32 = f.number("set-id")?;
+                if number >= LIST_NUMBERS {
+                    return Err(f.err("set-id", format!("{number} is past 15")));
+                }
+                let count: usize = f.number("hosts")?;
+                if count == 0 {
+                    self.lists.insert(number, Arc::from(Vec::new()));
+                } else {
+                    self.filling = Some((number, count, Vec::new()));
+                }
+                None
+            }
+            "server" => {
+                self.server(&mut f)?;
+                None
+            }
+            "update" => Some(Message::Event(self.update(&mut f)?)),
+            _ => Some(Message::Event(event(name, &mut f)?)),
+        };
+        f.end(name)?;
+        Ok(message)
+    }
+
+    /// Says whether the input may end here.
+    pub fn finish(&self) -> Result<(), WireError> {
+        if self.in_batch {
+            return Err(WireError {
+                line: self.line + 1,
+                field: "your_turn".into(),
+                what: "is missing: the input ends inside a batch".into(),
+            });
+        }
+        Ok(())
+    }
+
+    fn server(&mut self, f: &mut Fields) -> Result<(), WireError> {
+        let Some((number, count, mut entries)) = self.filling.take() else {
+            return Err(f.err("server", "comes outside a list"));
+        };
+        let entry = ListedServer {
+            id: f.number("server")?,
+            zone: f.number_or("rack-zone", 0)?,
+            kind: f.number_or("shape", 0)?,
+            cell: f.number_or("stripe", 0)?,
+            condition: f.one_of("condition", CONDITIONS)?,
+            size: {
+                let word = f.word("size")?;
+                f.finite("size", word)?
+            },
+            started_at: f.number_or("boot-time", 0)?,
+        };
+        entries.push(entry);
+        if entries.len() == count {
+            self.lists.insert(number, entries.into());
+        } else {
+            self.filling = Some((number, count, entries));
+        }
+        Ok(())
+    }
+
+    fn update(&self, f: &mut Fields) -> Result<Event, WireError> {
+        let kind = f.one_of("how", LIST_KINDS)?;
+        let version = f.number_or("index", 0)?;
+        let number = f.optional("set-id")?;
+        let entries = if kind == ListKind::Failed {
+            Arc::from(Vec::new())
+        } else {
+            let word = number.ok_or_else(|| f.err("set-id", "is missing"))?;
+            let number: u32 = f.parse("set-id", word)?;
+            self.lists
+                .get(&number)
+                .cloned()
+                .ok_or_else(|| f.err("set-id", format!("list {number} was never given")))?
+        };
+        Ok(Event::Servers { kind, version, entries })
+    }
+}
+
+fn event(name: &str, f: &mut Fields) -> Result<Event, WireError> {
+    Ok(match name {
+        "submit" => {
+            let id = f.word("op-id")?.into();
+            let class = f.number("grade")?;
+            let key = match f.optional("subject")? {
+                None => None,
+                Some(word) => Some(
+                    u64::from_str_radix(word, 16)
+                        .map_err(|_| f.err("subject", format!("'{word}' is not a key")))?,
+                ),
+            };
+            let cost: Nanos = f.number_or("cost", 0)?;
+            let tenant = f.number_or("org", 0)?;
+            let bits: u32 = f.number_or("attrs", 0)?;
+            Event::Request {
+                id,
+                class,
+                tenant,
+                key,
+                cost_hint: (bits & 1 != 0 && cost > 0).then_some(cost),
+                repeat: bits & 2 != 0,
+                patience: f.number("grace")?,
+            }
+        }
+        "under_way" => {
+            let id = f.word("op-id")?.into();
+            let _: ServerId = f.number("server")?;
+            let _: Nanos = f.number("took")?;
+            Event::StreamStarted { id, attempt: f.number("leg")? }
+        }
+        "resolved" => Event::AttemptEnded {
+            id: f.word("op-id")?.into(),
+            outcome: f.one_of("verdict", CALLED)?,
+            attempt: f.number("leg")?,
+            finished: f.one_of("complete", &[("1", true), ("0", false)])?,
+            took: f.number_or("took", 0)?,
+            server: f.number("server")?,
+            report: f.report("metrics")?,
+        },
+        "abandoned" => Event::Abandoned { id: f.word("op-id")?.into() },
+        "timer" => Event::Timer { token: f.number("label")? },
+        "health" => Event::Probed {
+            outcome: f.one_of("verdict", CALLED)?,
+            server: f.number("server")?,
+            took: f.number_or("took", 0)?,
+            report: f.report("metrics")?,
+        },
+        "peer_data" => {
+            Event::PeerMessage { from: f.number("src-peer")?, payload: f.bytes("octets")? }
+        }
+        _ => return Err(f.err(name, "is not a known message")),
+    })
+}
+
+fn instance_number(word: &str) -> Option<u64> {
+    word.strip_prefix("sidecar_")?.parse().ok()
+}
+
+/// Writes one action as a line of the reply.
+pub fn write_action(out: &mut String, action: &Action) {
+    // Writing to a String cannot fail.
+    let _ = match action {
+        Action::Send { id, server, timeout_at } => {
+            writeln!(out, "forward {id} {server} {timeout_at}")
+        }
+        Action::Cancel { id, attempt } => writeln!(out, "retract {id} {attempt}"),
+        Action::Refuse { id, retry_after } => writeln!(out, "shed {id} {retry_after}"),
+        Action::Fail { id } => writeln!(out, "drop_request {id}"),
+        Action::SetTimer { after, token } => writeln!(out, "set_timer {after} {token}"),
+        Action::Probe { server } => writeln!(out, "probe {server}"),
+        Action::CloseIdle { server } => writeln!(out, "drop_conns {server}"),
+        Action::TellPeer { peer, payload } => {
+            let _ = match peer {
+                Some(peer) => write!(out, "signal {peer} "),
+                None => write!(out, "signal all "),
+            };
+            if payload.is_empty() {
+                out.push('-');
+            }
+            for byte in payload {
+                let _ = write!(out, "{byte:02x}");
+            }
+            writeln!(out)
+        }
+        Action::Watch { on } => writeln!(out, "stream_changes {}", u8::from(*on)),
+        Action::FetchServers => writeln!(out, "pull"),
+        Action::Log { text } => writeln!(out, "debug {}", text.replace(['\n', '\r'], " ")),
+    };
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct RawSettings {
+    self_index: u32,
+    balancers: u32,
+    #[serde(default)]
+    zone: u32,
+    #[serde(default)]
+    zones: Vec<String>,
+    #[serde(default)]
+    flavors: Vec<String>,
+    classes: Vec<RawClass>,
+    #[serde(default)]
+    tenants: Vec<RawTenant>,
+    #[serde(default)]
+    over_share_worth: f64,
+    #[serde(default)]
+    worth_by: String,
+    registry_mode: String,
+    #[serde(default)]
+    weight_kind: String,
+    #[serde(default)]
+    report: RawReport,
+    tick: f64,
+    invariants: RawRules,
+    limits: RawLimits,
+    #[serde(default)]
+    goal: RawGoal,
+    #[serde(default)]
+    prices: RawPrices,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct RawClass {
+    semantics: String,
+    #[serde(default)]
+    group: String,
+    #[serde(default)]
+    memory_span: f64,
+    goal_time: f64,
+    deadline: f64,
+    worth: f64,
+    #[serde(default)]
+    late_worth: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct RawTenant {
+    #[serde(default)]
+    quota_rps: f64,
+    #[serde(default)]
+    share: f64,
+}
+
+#[derive(Deserialize, Default)]
+struct RawReport {
+    #[serde(default)]
+    how: String,
+    #[serde(default)]
+    fields: Vec<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct RawRules {
+    grace_to_answer: f64,
+    #[serde(default)]
+    ask_within: f64,
+    stop_sending_within: f64,
+    cold_from: f64,
+    cold: f64,
+    fall_multiple: f64,
+    tip_after: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct RawLimits {
+    cancel: bool,
+    probes: bool,
+    peers: bool,
+    retry_after: bool,
+    #[serde(default)]
+    max_retry_after: f64,
+    parallel_tries: bool,
+    max_attempts: u32,
+    connect_timeout: f64,
+    conn_idle: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+struct RawGoal {
+    whole: f64,
+    worst_window: f64,
+    worst_class: f64,
+    worst_tenant: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+struct RawPrices {
+    cross_zone: f64,
+    waste: f64,
+    handshake: f64,
+    connection: f64,
+    probe: f64,
+    peer: f64,
+    late_fail: f64,
+}
+
+fn span(key: &str, value: f64) -> Result<Nanos, String> {
+    // Nanosecond spans up to a few centuries: a float holds them well enough.
+    if (0.0..1e19).contains(&value) {
+        Ok(value as Nanos)
+    } else {
+        Err(format!("{key}: {value} is not a span of time"))
+    }
+}
+
+/// Reads the settings of an instance from their JSON text.
+pub fn parse_settings(text: &str) -> Result<Settings, String> {
+    let raw: RawSettings = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    if raw.classes.is_empty() {
+        return Err("classes: there are none".into());
+    }
+    let mut classes = Vec::new();
+    for c in &raw.classes {
+        classes.push(Class {
+            effect: match c.semantics.as_str() {
+                "pure" => Effect::Safe,
+                "token" => Effect::Keyed,
+                "side_effect" => Effect::Unsafe,
+                other => return Err(format!("classes.semantics: '{other}' is not known")),
+            },
+            group: match c.group.as_str() {
+                "zone" => Group::Zone,
+                "cell" => Group::Cell,
+                "all" | "" => Group::All,
+                other => return Err(format!("classes.group: '{other}' is not known")),
+            },
+            dedup_window: span("classes.memory-span", c.memory_span)?,
+            aim: span("classes.goal-time", c.goal_time)?,
+            deadline: span("classes.deadline", c.deadline)?,
+            worth: c.worth,
+            late_worth: c.late_worth,
+        });
+    }
+    let (r, l) = (&raw.invariants, &raw.limits);
+    Ok(Settings {
+        self_index: raw.self_index,
+        instances: raw.balancers.max(1),
+        zone: raw.zone,
+        zones: (raw.zones.len() as u32).max(1),
+        kinds: (raw.flavors.len() as u32).max(1),
+        classes,
+        tenants: raw
+            .tenants
+            .iter()
+            .map(|t| Tenant { quota_per_s: t.quota_rps, share: t.share })
+            .collect(),
+        over_share_worth: raw.over_share_worth,
+        worth_by_work: raw.worth_by == "work",
+        must_ask: match raw.registry_mode.as_str() {
+            "subscribe" => true,
+            "automatic" => false,
+            other => return Err(format!("registry-mode: '{other}' is not known")),
+        },
+        ask_within: span("invariants.ask-within", r.ask_within)?,
+        size_kind: match raw.weight_kind.as_str() {
+            "nominal" => SizeKind::Nominal,
+            "rough" => SizeKind::Rough,
+            "live" => SizeKind::Live,
+            _ => SizeKind::Absent,
+        },
+        report_mode: match raw.report.how.as_str() {
+            "piggyback" => ReportMode::Answers,
+            "pull" => ReportMode::Probes,
+            _ => ReportMode::Absent,
+        },
+        report_fields: raw
+            .report
+            .fields
+            .iter()
+            .map(|name| match name.as_str() {
+                "inflight" => ReportField::InFlight,
+                "queue" => ReportField::Queue,
+                "util" => ReportField::Utilization,
+                "latency_ms" => ReportField::LatencyMs,
+                "qps" => ReportField::ServedPerS,
+                "eps" => ReportField::ErrorsPerS,
+                _ => ReportField::Other,
+            })
+            .collect(),
+        tick: span("tick", raw.tick)?,
+        answer_slack: span("invariants.grace-to-answer", r.grace_to_answer)?,
+        drain_grace: span("invariants.stop-sending-within", r.stop_sending_within)?,
+        cold_from: r.cold_from,
+        cold: span("invariants.cold", r.cold)?,
+        fall_multiple: r.fall_multiple,
+        tip_after: span("invariants.tip-after", r.tip_after)?,
+        cancel: l.cancel,
+        probes: l.probes,
+        peers: l.peers,
+        retry_after: l.retry_after,
+        max_retry_after: span("limits.max-retry-after", l.max_retry_after)?,
+        parallel_attempts: l.parallel_tries,
+        max_attempts: l.max_attempts,
+        connect_timeout: span("limits.connect-timeout", l.connect_timeout)?,
+        idle_timeout: span("limits.conn-idle", l.conn_idle)?,
+        goal: Goal {
+            whole: raw.goal.whole,
+            worst_window: raw.goal.worst_window,
+            worst_class: raw.goal.worst_class,
+            worst_tenant: raw.goal.worst_tenant,
+        },
+        prices: Prices {
+            cross_zone: raw.prices.cross_zone,
+            waste: raw.prices.waste,
+            handshake: raw.prices.handshake,
+            connection: raw.prices.connection,
+            probe: raw.prices.probe,
+            peer: raw.prices.peer,
+            late_fail: raw.prices.late_fail,
+        },
+    })
+}
