--- a/src/main.rs
+++ b/src/main.rs
@@ -28,11 +28,9 @@
     let file = std::env::var_os("RELAY_CONFIG").ok_or("environment: RELAY_CONFIG: is not set")?;
     let file = PathBuf::from(file);
     let config = Config::read(&file).map_err(|e| e.to_string())?;
-    let unusable =
-        |field: &str, e: std::io::Error| format!("{}: {field}: {e}", file.display());
+    let unusable = |field: &str, e: std::io::Error| format!("{}: {field}: {e}", file.display());
     // Danger: taken before anything else, so that an early SIGTERM is not deadly.
-    let mut terminated =
-        signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut terminated = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let peers = match config.peer_listen.filter(|_| config.settings.peers) {
         None => None,
         Some(address) => {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -148,8 +148,8 @@
         }
         let text = raw.settings.to_string();
         let settings = parse_settings(&text).map_err(|what| error("settings", what))?;
-        let names: Names = parse(&text)
-            .map_err(|(field, what)| error(&format!("settings.{field}"), what))?;
+        let names: Names =
+            parse(&text).map_err(|(field, what)| error(&format!("settings.{field}"), what))?;
         if settings.peers && raw.peer_listen.is_none() {
             return Err(error("peer_listen", "is missing, but the settings allow peers".into()));
         }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -104,9 +104,7 @@
             match key.as_str() {
                 "rev" => self.0.rev = Some(map.next_value()?),
                 "all" => self.0.all = map.next_value()?,
-                "targets" => {
-                    map.next_value_seed(ReadTargets(self.0.targets.insert(Vec::new())))?
-                }
+                "targets" => map.next_value_seed(ReadTargets(self.0.targets.insert(Vec::new())))?,
                 _ => drop(map.next_value::<IgnoredAny>()?),
             }
         }
@@ -296,9 +294,7 @@
                 Pin::new(&mut body).poll_frame(cx)
             });
             match timeout(STALL, next).await {
-                Ok(Some(Ok(frame))) => {
-                    received.bytes.extend(frame.into_data().unwrap_or_default())
-                }
+                Ok(Some(Ok(frame))) => received.bytes.extend(frame.into_data().unwrap_or_default()),
                 Ok(None) => {
                     received.whole = true;
                     return received;
@@ -350,7 +346,8 @@
 pub async fn watch(driver: Rc<Driver>, to: SocketAddr) {
     let mut caller = Caller { to, line: None };
     loop {
-        let answer = caller.news(driver.fleet.borrow().version()).await;
+        let held = driver.fleet.borrow().version();
+        let answer = caller.news(held).await;
         if !take(&driver, &answer) {
             return driver.list_failed();
         }
@@ -370,7 +367,8 @@
     let mut caller = Caller { to, line: None };
     loop {
         let asked = Instant::now();
-        let answer = caller.news(driver.fleet.borrow().version()).await;
+        let held = driver.fleet.borrow().version();
+        let answer = caller.news(held).await;
         take(&driver, &answer);
         sleep(AGENT_PACE.saturating_sub(asked.elapsed())).await;
     }
@@ -427,7 +425,8 @@
 
     #[test]
     fn a_malformed_answer_changes_nothing() {
-        for text in ["", "[]", "{}", r#"{"rev":1,"all":true}"#, r#"{"rev":"x","targets":[]}"#, "<"] {
+        for text in ["", "[]", "{}", r#"{"rev":1,"all":true}"#, r#"{"rev":"x","targets":[]}"#, "<"]
+        {
             let (_, servers, whole) = fleet().take(&received(text, true));
             assert!(!whole && servers.is_empty(), "{text}");
         }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -32,7 +32,7 @@
 /// What a client is told in the end.
 pub enum Reply {
     /// The server's answer.
-    Served(Answer),
+    Served(Box<Answer>),
     /// Trying again is harmless, after a while.
     Refused(Nanos),
     /// Nothing is promised.
@@ -107,8 +107,7 @@
         let fields = config.names.report.clone();
         let mode = settings.report_mode;
         let mut actions = Vec::new();
-        let balancer =
-            Balancer::new(settings.clone(), config.seed, clock.now(), &mut actions);
+        let balancer = Balancer::new(settings.clone(), config.seed, clock.now(), &mut actions);
         let driver = Rc::new(Driver {
             core: RefCell::new(Core {
                 balancer,
@@ -267,13 +266,7 @@
         answer.await.unwrap_or(Reply::Failed)
     }
 
-    fn send(
-        self: &Rc<Self>,
-        core: &mut Core,
-        id: RequestId,
-        server: ServerId,
-        timeout_at: Nanos,
-    ) {
+    fn send(self: &Rc<Self>, core: &mut Core, id: RequestId, server: ServerId, timeout_at: Nanos) {
         let now = self.clock.now();
         let Some(taken) = core.taken.get_mut(&id) else { return };
         let number = taken.attempts.len() as u32;
@@ -413,7 +406,7 @@
             answer => {
                 if let Some(answer) = answer {
                     let mut core = driver.core.borrow_mut();
-                    core.conclude(&self.id, Reply::Served(answer));
+                    core.conclude(&self.id, Reply::Served(Box::new(answer)));
                 }
                 driver.attempt_ended(&self.id, self.number, outcome, report);
             }
@@ -437,7 +430,7 @@
             core.events.push_back(Event::StreamStarted { id: id.clone(), attempt });
             driver.turn(&mut core);
         }
-        core.conclude(&id, Reply::Served(answer));
+        core.conclude(&id, Reply::Served(Box::new(answer)));
     }
 }
 
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -326,13 +326,11 @@
         } else {
             match self.take(&client, request).await {
                 Ok(Reply::Served(answer)) => {
-                    return Ok(self.served(&client, answer));
+                    return Ok(self.served(&client, *answer));
+                }
+                Ok(Reply::Refused(after)) => {
+                    (StatusCode::SERVICE_UNAVAILABLE, Some(after), Content::Text("refused\n"))
                 }
-                Ok(Reply::Refused(after)) => (
-                    StatusCode::SERVICE_UNAVAILABLE,
-                    Some(after),
-                    Content::Text("refused\n"),
-                ),
                 Ok(Reply::Failed) => (StatusCode::BAD_GATEWAY, None, Content::Text("failed\n")),
                 Err(refusal) => (refusal.status, None, Content::Text(refusal.what)),
             }
@@ -409,9 +407,7 @@
         };
         let deadline = self.settings.classes[class].deadline;
         let patience = match figure::<u64>(headers, "x-remaining-ms") {
-            Ok(left) => {
-                left.map_or(deadline, |ms| ms.saturating_mul(1_000_000).min(deadline))
-            }
+            Ok(left) => left.map_or(deadline, |ms| ms.saturating_mul(1_000_000).min(deadline)),
             Err(()) => return Err(bad("X-Remaining-Ms is not a number\n")),
         };
         let cost_hint = figure::<f64>(headers, "x-estimate")
