Take SIGHUP: discovery moves with the configuration file

Nothing else could have moved the watch either: its address was fixed at the start.

Now the file is read again; a malformed one is logged and changes nothing. A new address is told to the module, which starts a watch there within 600 ms, spread so that instances moved together do not all call at once; the old watch goes on until then. A service whose versions lie under the one held is asked for its whole list, or its watch would never have news.

Tests: the whole program over loopback sockets; two of three fail before.

--- a/src/api.rs
+++ b/src/api.rs
@@ -291,6 +291,8 @@
         /// Its entries; none for [`ListKind::Failed`].
         entries: Arc<[ListedServer]>,
     },
+    /// Discovery has moved to another address; the next call goes there.
+    DiscoveryMoved,
     /// A client's request has arrived.
     Request {
         /// Its id.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -2,8 +2,7 @@
 //!
 //! The ordinary path is He and Down's line for servers of unequal speed
 //! (section 4 of their paper). Exceptions act only through who is ready, what
-//! a server's speed is, whether a request is admitted and when it is tried
-//! again; docs/design.md lists them with their conditions.
+//! a server's speed is, whether a request is admitted and when it is tried again.
 
 use crate::api::*;
 use crate::fading::Fading;
@@ -131,6 +130,8 @@
 
 /// First discovery call falls within this part of `ask_within`.
 const WATCH_SPREAD: f64 = 0.7;
+/// The same where discovery has moved: its old address may fall silent.
+const MOVE_SPREAD: Nanos = 600 * MS;
 /// First wait after a failed discovery call; doubles up to `ask_within`.
 const WATCH_RETRY: Nanos = SECOND;
 
@@ -404,7 +405,7 @@
             ..Balancer::default()
         };
         this.tenant_weight.add(now, RATE_HALF_LIFE, 1.0 / RATE_SPAN);
-        this.start_discovery(out);
+        this.call_discovery((this.set.ask_within as f64 * WATCH_SPREAD) as Nanos, out);
         this
     }
 
@@ -412,6 +413,10 @@
     pub fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Servers { kind, entries, .. } => self.on_servers(now, kind, &entries, out),
+            Event::DiscoveryMoved => {
+                (self.watching, self.call_out, self.call_fails) = (false, false, 0);
+                self.call_discovery(MOVE_SPREAD, out);
+            }
             Event::Request { id, class, tenant, patience, repeat, cost_hint, .. } => {
                 let request = Request {
                     class: class as usize,
@@ -546,10 +551,8 @@
     }
 
     fn speed_memory(&self) -> (f64, Nanos) {
-        match self.set.peers {
-            true => (POOLED_PRIOR, POOLED_HALF_LIFE),
-            false => (SPEED_PRIOR, SPEED_HALF_LIFE),
-        }
+        let pooled = self.set.peers;
+        [(SPEED_PRIOR, SPEED_HALF_LIFE), (POOLED_PRIOR, POOLED_HALF_LIFE)][usize::from(pooled)]
     }
 
     fn add_evidence(&mut self, now: Nanos, s: usize, sum: f64, count: f64) {
@@ -650,14 +653,11 @@
         server.cold_credit
     }
 
-    /// Part of the rates' memory that this instance has lived.
-    fn seen_part(&self, now: Nanos) -> f64 {
-        let age = now.saturating_sub(self.born) as f64 / SECOND as f64;
-        1.0 - (-age.max(1.0) / RATE_SPAN).exp()
-    }
-
+    /// Arrivals a second, over the part of the memory that this instance has lived.
     fn arrival_rate(&self, now: Nanos) -> f64 {
-        self.arrivals.get(now, RATE_HALF_LIFE) / RATE_SPAN / self.seen_part(now)
+        let age = now.saturating_sub(self.born) as f64 / SECOND as f64;
+        let lived = 1.0 - (-age.max(1.0) / RATE_SPAN).exp();
+        self.arrivals.get(now, RATE_HALF_LIFE) / RATE_SPAN / lived
     }
 
     /// Answers a second, and a little for an instance that has seen none. What
@@ -1218,11 +1218,10 @@
 
     // ----------------------------------------------------------- discovery
 
-    fn start_discovery(&mut self, out: Out<'_>) {
+    /// Danger: instances that start or move together must not all call at once.
+    fn call_discovery(&mut self, spread: Nanos, out: Out<'_>) {
         if self.set.must_ask {
-            // Danger: instances that start together must not all call at once.
-            let spread = self.set.ask_within as f64 * WATCH_SPREAD;
-            let after = (self.rng.draw() * spread) as Nanos;
+            let after = (self.rng.draw() * spread as f64) as Nanos;
             self.wake(after, Wake::Discovery, out);
         }
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -31,6 +31,7 @@
     let unusable = |field: &str, e: std::io::Error| format!("{}: {field}: {e}", file.display());
     // Danger: taken before anything else, so that an early SIGTERM is not deadly.
     let mut terminated = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut reload = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let peers = match config.peer_listen.filter(|_| config.settings.peers) {
         None => None,
         Some(address) => {
@@ -47,6 +48,18 @@
     let Config { name, listen, settings, names, .. } = config;
     let inbound = Inbound::new(driver.clone(), settings, names, &limits, draining.clone());
     eprintln!("eiderusher: {name} listens on {listen}");
+    let reloads = async {
+        while reload.recv().await.is_some() {
+            match Config::read(&file) {
+                Ok(new) => {
+                    eprintln!("eiderusher: {name} reloads; discovery is {}", new.discovery);
+                    driver.move_discovery(new.discovery);
+                }
+                // What was in force stays in force.
+                Err(what) => eprintln!("eiderusher: not reloaded: {what}"),
+            }
+        }
+    };
     let end = async {
         terminated.recv().await;
         draining.cancel();
@@ -58,6 +71,7 @@
     tokio::select! {
         () = inbound.accept(listener) => {}
         () = driver.run() => {}
+        () = reloads => {}
         () = end => {}
     }
     Ok(())
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -39,6 +39,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest answer: a hundred thousand servers.
 const ANSWER_MAX: usize = 24 << 20;
+/// Shortest time between two calls of a watch, well within what keeps it going.
+const WATCH_PACE: Duration = Duration::from_millis(20);
 /// Pace of calls to an agent that pushes: it answers at once even with no news.
 const AGENT_PACE: Duration = Duration::from_millis(50);
 
@@ -346,11 +348,19 @@
 pub async fn watch(driver: Rc<Driver>, to: SocketAddr) {
     let mut caller = Caller { to, line: None };
     loop {
+        let asked = Instant::now();
         let held = driver.fleet.borrow().version();
-        let answer = caller.news(held).await;
+        let mut answer = caller.news(held).await;
+        if read_list(&answer.bytes).0.rev.is_some_and(|rev| rev < held) {
+            // Danger: a service that counts anew would never have news for what
+            // is held; its whole list starts the count over.
+            answer = caller.call("", ANSWER_GRACE).await;
+        }
         if !take(&driver, &answer) {
             return driver.list_failed();
         }
+        // A watch that is answered at once, over and over, must not spin.
+        sleep(WATCH_PACE.saturating_sub(asked.elapsed())).await;
     }
 }
 
@@ -363,9 +373,12 @@
 }
 
 /// Follows an agent that lists are pushed to. Its silence is no failed call.
-pub async fn follow(driver: Rc<Driver>, to: SocketAddr) {
-    let mut caller = Caller { to, line: None };
+pub async fn follow(driver: Rc<Driver>) {
+    let mut caller = Caller { to: driver.discovery(), line: None };
     loop {
+        if caller.to != driver.discovery() {
+            caller = Caller { to: driver.discovery(), line: None };
+        }
         let asked = Instant::now();
         let held = driver.fleet.borrow().version();
         let answer = caller.news(held).await;
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -13,7 +13,7 @@
 use eiderusher::decide::Balancer;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::Request;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::future::poll_fn;
 use std::io::Write;
@@ -91,7 +91,7 @@
     upstream: Rc<Upstream>,
     probing: Probing,
     peers: Option<Peers>,
-    discovery: SocketAddr,
+    discovery: Cell<SocketAddr>,
     max_attempts: usize,
     /// Fields of the load reports in answers.
     report_fields: Option<Vec<String>>,
@@ -125,7 +125,7 @@
                 timeout: connect_timeout,
             },
             peers: peers.filter(|_| settings.peers),
-            discovery: config.discovery,
+            discovery: Cell::new(config.discovery),
             max_attempts: settings.max_attempts as usize,
             report_fields: (mode == ReportMode::Answers).then_some(fields),
         });
@@ -134,7 +134,7 @@
         let servers = known.and_then(|text| driver.fleet.borrow_mut().take_known(text));
         driver.listed(ListKind::Cached, servers.unwrap_or_default());
         if !settings.must_ask {
-            spawn_local(discovery::follow(driver.clone(), config.discovery));
+            spawn_local(discovery::follow(driver.clone()));
         }
         driver
     }
@@ -223,12 +223,12 @@
                         watch.abort();
                     }
                     if on {
-                        let watch = discovery::watch(self.clone(), self.discovery);
+                        let watch = discovery::watch(self.clone(), self.discovery.get());
                         core.watch = Some(spawn_local(watch).abort_handle());
                     }
                 }
                 Action::FetchServers => {
-                    spawn_local(discovery::fetch(self.clone(), self.discovery));
+                    spawn_local(discovery::fetch(self.clone(), self.discovery.get()));
                 }
                 // A log that nobody reads must not stop the sidecar.
                 Action::Log { text } => drop(writeln!(std::io::stderr(), "{text}")),
@@ -331,6 +331,19 @@
         self.post(Event::Servers { kind, version, entries: servers.into() });
     }
 
+    /// Where discovery answers now.
+    pub fn discovery(&self) -> SocketAddr {
+        self.discovery.get()
+    }
+
+    /// Turns to another address of discovery. The calls under way go on until
+    /// the module starts new ones, so that no news is missed in between.
+    pub fn move_discovery(self: &Rc<Self>, to: SocketAddr) {
+        if self.discovery.replace(to) != to {
+            self.post(Event::DiscoveryMoved);
+        }
+    }
+
     /// Passes on that a call to discovery failed.
     pub fn list_failed(self: &Rc<Self>) {
         self.listed(ListKind::Failed, Vec::new());
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Settings, servers and requests for the tests.
 #![allow(dead_code)]
 
+pub mod net;
+
 use eiderusher::api::*;
 use eiderusher::decide::Balancer;
 use std::sync::Arc;
--- /dev/null
+++ b/tests/common/net.rs
@@ -0,0 +1,329 @@
+//! The whole program between a client, servers and discovery on loopback
+//! sockets. Each test has an address of its own; waits are for conditions.
+
+use serde_json::{json, Value};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// No condition takes so long, even on a busy machine.
+pub const LONG: Duration = Duration::from_secs(60);
+
+/// A port that nothing uses, at an address that no other test has.
+pub fn free_address() -> SocketAddr {
+    static LAST: AtomicU8 = AtomicU8::new(0);
+    let number = LAST.fetch_add(1, Ordering::Relaxed) + 1;
+    let process = std::process::id();
+    let ip = Ipv4Addr::new(127, 10 + (process >> 8) as u8 % 200, process as u8, number);
+    let probe = TcpListener::bind((ip, 0)).unwrap();
+    probe.local_addr().unwrap()
+}
+
+/// Waits until something holds; fails the test if it never does.
+pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + LONG;
+    while !holds() {
+        assert!(Instant::now() < end, "never came about: {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Accepts connections until the test ends, each in a thread of its own.
+fn serve(at: SocketAddr, serve_one: impl Fn(TcpStream) + Send + Sync + 'static) -> Closing {
+    let listener = TcpListener::bind(at).unwrap();
+    let over = Arc::new(AtomicBool::new(false));
+    let (seen, serve_one) = (over.clone(), Arc::new(serve_one));
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            if seen.load(Ordering::Relaxed) {
+                return;
+            }
+            let serve_one = serve_one.clone();
+            thread::spawn(move || serve_one(stream));
+        }
+    });
+    Closing { at, over }
+}
+
+/// Stops a listener when dropped.
+struct Closing {
+    at: SocketAddr,
+    over: Arc<AtomicBool>,
+}
+
+impl Drop for Closing {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::Relaxed);
+        let _ = TcpStream::connect(self.at);
+    }
+}
+
+/// One HTTP message: its head, up to the blank line, and its body.
+#[derive(Debug, Clone, Default)]
+pub struct Message {
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let named = |line: &&str| line.split(':').next().unwrap().eq_ignore_ascii_case(name);
+        let line = self.head.lines().skip(1).find(named)?;
+        Some(line.split_once(':').unwrap().1.trim())
+    }
+
+    pub fn status(&self) -> u16 {
+        self.head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+
+    pub fn path(&self) -> &str {
+        self.head.split(' ').nth(1).unwrap_or("")
+    }
+
+    /// Reads the next message that has a length; none at the connection's end.
+    pub fn read(stream: &mut TcpStream) -> Option<Message> {
+        let mut head = Vec::new();
+        let mut byte = [0];
+        while !head.ends_with(b"\r\n\r\n") {
+            if stream.read(&mut byte).ok()? == 0 {
+                return None;
+            }
+            head.push(byte[0]);
+        }
+        let head = String::from_utf8_lossy(&head).into_owned();
+        let mut message = Message { head, body: Vec::new() };
+        let length = message.header("content-length").map_or(0, |l| l.parse().unwrap());
+        message.body = vec![0; length];
+        stream.read_exact(&mut message.body).ok()?;
+        Some(message)
+    }
+}
+
+/// An answer with a length.
+pub fn answer(body: &str) -> Vec<u8> {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+/// A server: it notes each request and writes what it is told for it.
+pub struct Server {
+    pub at: SocketAddr,
+    seen: Arc<Mutex<Vec<Message>>>,
+    /// Connections accepted.
+    pub connections: Arc<Mutex<usize>>,
+    _closing: Closing,
+}
+
+impl Server {
+    /// `respond` gives an answer's bytes; `None` leaves the request unanswered.
+    pub fn start(
+        respond: impl Fn(&Message, usize) -> Option<Vec<u8>> + Send + Sync + 'static,
+    ) -> Self {
+        let at = free_address();
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let connections = Arc::new(Mutex::new(0));
+        let (noted, opened) = (seen.clone(), connections.clone());
+        let closing = serve(at, move |mut stream| {
+            *opened.lock().unwrap() += 1;
+            while let Some(request) = Message::read(&mut stream) {
+                let number = {
+                    let mut noted = noted.lock().unwrap();
+                    noted.push(request.clone());
+                    noted.len()
+                };
+                let bytes = respond(&request, number);
+                if bytes.is_some_and(|bytes| stream.write_all(&bytes).is_err()) {
+                    return;
+                }
+            }
+        });
+        Server { at, seen, connections, _closing: closing }
+    }
+
+    /// The requests that came, in order.
+    pub fn seen(&self) -> Vec<Message> {
+        self.seen.lock().unwrap().clone()
+    }
+
+    pub fn entry(&self, uid: &str) -> Value {
+        json!({"uid": uid, "endpoint": self.at.to_string(), "state": "SERVING"})
+    }
+}
+
+/// Discovery: one list, and watches that wait until it changes.
+pub struct Discovery {
+    pub at: SocketAddr,
+    list: Arc<(Mutex<(u64, Vec<Value>)>, Condvar)>,
+    /// Calls answered.
+    pub calls: Arc<Mutex<usize>>,
+    _closing: Closing,
+}
+
+impl Discovery {
+    pub fn start(rev: u64, entries: Vec<Value>) -> Self {
+        let at = free_address();
+        let list = Arc::new((Mutex::new((rev, entries)), Condvar::new()));
+        let calls = Arc::new(Mutex::new(0));
+        let (shared, counted) = (list.clone(), calls.clone());
+        let closing = serve(at, move |mut stream| {
+            while let Some(call) = Message::read(&mut stream) {
+                let after = call
+                    .path()
+                    .split_once("after=")
+                    .map(|(_, rest)| rest.split('&').next().unwrap().parse::<u64>().unwrap());
+                let (lock, changed) = &*shared;
+                let held = lock.lock().unwrap();
+                // A watch waits for news, or a while.
+                let wait = Duration::from_secs(u64::from(after == Some(held.0)) * 5);
+                let rev = held.0;
+                let (held, _) = changed.wait_timeout_while(held, wait, |l| l.0 == rev).unwrap();
+                let list = json!({"rev": held.0, "all": true, "targets": held.1});
+                drop(held);
+                *counted.lock().unwrap() += 1;
+                if stream.write_all(&answer(&list.to_string())).is_err() {
+                    return;
+                }
+            }
+        });
+        Discovery { at, list, calls, _closing: closing }
+    }
+
+    pub fn set(&self, entries: Vec<Value>) {
+        let mut held = self.list.0.lock().unwrap();
+        *held = (held.0 + 1, entries);
+        self.list.1.notify_all();
+    }
+}
+
+/// The program, ended when the test is.
+pub struct Sidecar {
+    pub at: SocketAddr,
+    pub child: Child,
+    pub file: PathBuf,
+    pub config: Value,
+}
+
+/// A configuration with three classes: `safe`, `keyed` and `unsafe`.
+pub fn config(discovery: SocketAddr, known: Vec<Value>) -> Value {
+    let class = |name: &str, semantics: &str| {
+        json!({"name": name, "semantics": semantics, "goal-time": 4_000_000_000u64,
+            "deadline": 8_000_000_000u64, "worth": 1, "memory-span": 20_000_000_000u64})
+    };
+    json!({
+        "name": "n0", "listen": free_address().to_string(), "discovery": discovery.to_string(),
+        "seed": "8c1f30d27a5be964", "limits": {"memory_mb": 32, "sockets": 128},
+        "known": {"rev": 1, "all": true, "targets": known},
+        "settings": {
+            "self-index": 0, "balancers": 1, "tick": 5_000_000, "registry-mode": "subscribe",
+            "classes": [class("safe", "pure"), class("keyed", "token"),
+                class("unsafe", "side_effect")],
+            "tenants": [{"name": "acme", "quota-rps": 1000.0, "share": 1.0}],
+            "invariants": {"grace-to-answer": 15_000_000, "stop-sending-within": 250_000_000,
+                "ask-within": 1_000_000_000, "cold-from": 0.3, "cold": 0, "fall-multiple": 3,
+                "tip-after": 2_000_000_000u64},
+            "limits": {"cancel": true, "probes": false, "peers": false, "retry-after": true,
+                "parallel-tries": false, "max-attempts": 6, "connect-timeout": 200_000_000,
+                "conn-idle": 15_000_000_000u64}
+        }
+    })
+}
+
+impl Sidecar {
+    /// Starts the program and waits until it says that it is ready.
+    pub fn start(config: Value) -> Self {
+        let at: SocketAddr = config["listen"].as_str().unwrap().parse().unwrap();
+        let file = std::env::temp_dir()
+            .join(format!("eiderusher-{}.json", at.to_string().replace(':', "-")));
+        std::fs::write(&file, config.to_string()).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_eiderusher"))
+            .env("RELAY_CONFIG", &file)
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let sidecar = Sidecar { at, child, file, config };
+        let ready = || ask(at, b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+        wait_until("the sidecar is ready", || ready().is_some_and(|a| a.status() == 200));
+        sidecar
+    }
+
+    /// Replaces the file and sends SIGHUP.
+    pub fn reload(&mut self, text: &str) {
+        std::fs::write(&self.file, text).unwrap();
+        self.signal("HUP");
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-s", name, &pid]).status().unwrap().success());
+    }
+
+    pub fn running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
+    /// Descriptors open now.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
+    /// The most memory it ever held, in bytes.
+    pub fn peak_memory(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|l| l.starts_with("VmHWM:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse::<usize>().unwrap() << 10
+    }
+
+    /// One request on a new connection, and its answer.
+    pub fn ask(&self, request: &[u8]) -> Option<Message> {
+        ask(self.at, request)
+    }
+}
+
+impl Drop for Sidecar {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+/// Writes bytes on a new connection and reads one answer; none if it is closed.
+pub fn ask(at: SocketAddr, request: &[u8]) -> Option<Message> {
+    let mut stream = connect(at)?;
+    // A close may cross what is written.
+    let _ = stream.write_all(request);
+    Message::read(&mut stream)
+}
+
+pub fn connect(at: SocketAddr) -> Option<TcpStream> {
+    let stream = TcpStream::connect(at).ok()?;
+    stream.set_read_timeout(Some(LONG)).unwrap();
+    Some(stream)
+}
+
+/// Waits until the other side closes or resets; what came before that.
+pub fn read_to_close(stream: &mut TcpStream) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4096];
+    loop {
+        match stream.read(&mut buffer) {
+            Ok(0) => return bytes,
+            Ok(count) => bytes.extend_from_slice(&buffer[..count]),
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => return bytes,
+            Err(e) => panic!("neither closed nor reset: {e}"),
+        }
+    }
+}
+
+/// A request of a class, with an id of its own.
+pub fn request(class: &str, id: &str) -> Vec<u8> {
+    format!(
+        "GET /api HTTP/1.1\r\nHost: a\r\nX-Txn: {id}\r\nX-Lane: {class}\r\nX-Org: acme\r\n\
+         X-Remaining-Ms: 8000\r\n\r\n"
+    )
+    .into_bytes()
+}
--- /dev/null
+++ b/tests/reload.rs
@@ -0,0 +1,58 @@
+//! New configurations while the program runs.
+
+mod common;
+
+use common::net::*;
+use serde_json::json;
+
+#[test]
+fn discovery_moves_with_the_file() {
+    let (old, new) =
+        (Server::start(|_, _| Some(answer("old"))), Server::start(|_, _| Some(answer("new"))));
+    let first = Discovery::start(2, vec![old.entry("a")]);
+    // The second counts its versions anew.
+    let second = Discovery::start(1, vec![new.entry("b")]);
+    let mut sidecar = Sidecar::start(config(first.at, vec![old.entry("a")]));
+    wait_until("the first watch", || *first.calls.lock().unwrap() > 0);
+    let mut moved = sidecar.config.clone();
+    moved["discovery"] = json!(second.at.to_string());
+    sidecar.reload(&moved.to_string());
+    let mut number = 0;
+    wait_until("the new list is in force", || {
+        number += 1;
+        let answer = sidecar.ask(&request("safe", &format!("r{number}"))).unwrap();
+        assert_eq!(answer.status(), 200);
+        answer.body == b"new"
+    });
+    assert!(sidecar.running());
+}
+
+#[test]
+fn a_malformed_file_is_not_taken_over() {
+    let server = Server::start(|_, _| Some(answer("served")));
+    let discovery = Discovery::start(1, vec![server.entry("a")]);
+    let mut sidecar = Sidecar::start(config(discovery.at, vec![server.entry("a")]));
+    for text in ["", "{", r#"{"name":"n0"}"#] {
+        sidecar.reload(text);
+    }
+    // A watch that goes on shows that the old address is still in force.
+    let calls = *discovery.calls.lock().unwrap();
+    discovery.set(vec![server.entry("a"), server.entry("b")]);
+    wait_until("the watch goes on", || *discovery.calls.lock().unwrap() > calls);
+    assert_eq!(sidecar.ask(&request("safe", "x")).unwrap().status(), 200);
+    assert!(sidecar.running());
+}
+
+#[test]
+fn a_malformed_file_at_the_start_is_one_line_and_no_success() {
+    let file = std::env::temp_dir().join(format!("eiderusher-bad-{}.json", std::process::id()));
+    std::fs::write(&file, r#"{"name":"n0","listen":"nowhere"}"#).unwrap();
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_eiderusher"))
+        .env("RELAY_CONFIG", &file)
+        .output()
+        .unwrap();
+    std::fs::remove_file(&file).unwrap();
+    let said = String::from_utf8(output.stderr).unwrap();
+    assert!(!output.status.success() && said.lines().count() == 1, "{said}");
+    assert!(said.contains("listen"), "{said}");
+}
