--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -154,10 +154,13 @@
     }
 }
 
+/// A list's version and entries.
+type Versioned = (u64, Vec<Value>);
+
 /// Discovery: one list, and watches that wait until it changes.
 pub struct Discovery {
     pub at: SocketAddr,
-    list: Arc<(Mutex<(u64, Vec<Value>)>, Condvar)>,
+    list: Arc<(Mutex<Versioned>, Condvar)>,
     /// Calls answered.
     pub calls: Arc<Mutex<usize>>,
     _closing: Closing,
