--- a/src/api.rs
+++ b/src/api.rs
@@ -258,6 +258,8 @@
     Ok,
     /// Answered with an error.
     Error,
+    /// Answered that the request itself is at fault.
+    Rejected,
     /// Turned away unexamined.
     Full,
     /// No answer in time.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -257,8 +257,6 @@
     rank: u64,
     /// When it started, if that is known to be recent.
     started: Option<Nanos>,
-    /// Draining or gone, as far as this instance has heard.
-    leaving: bool,
     in_flight: u32,
     overdue: u32,
     /// Decayed sum and count of log latency ratios.
@@ -270,12 +268,18 @@
     /// Sends a cold server may still get from this instance.
     cold_credit: f64,
     credit_at: Nanos,
-    /// The last load report, its queue and times, and what was sent since.
+    /// The last load report, its queue with what was sent since, and times.
     report: Vec<f64>,
     report_queue: f64,
     report_at: Nanos,
     asked_at: Nanos,
-    sent_since: u32,
+}
+
+impl Server {
+    /// Draining or gone, as far as this instance has heard.
+    fn leaving(&self) -> bool {
+        self.listed.condition != Condition::Live
+    }
 }
 
 #[derive(Debug, Clone, Default)]
@@ -322,12 +326,8 @@
     refuse: bool,
 }
 
-/// Class and log of the work expected, if known.
-type Work = (usize, Option<f64>);
 /// Outcome, whether the request is finished, and the time an attempt took.
 type End = (Outcome, bool, Nanos);
-/// Whether a probe was answered, and its report.
-type Probed = (bool, Option<Vec<f64>>);
 /// Where actions are appended.
 type Out<'a> = &'a mut Vec<Action>;
 
@@ -483,12 +483,10 @@
     }
 
     fn speed(&self, server: &Server, now: Nanos) -> f64 {
-        let (prior, half_life) = self.speed_memory();
-        let sum = server.slow_sum.get(now, half_life);
-        let count = server.slow_count.get(now, half_life);
         let fails = server.fails.get(now, FAIL_HALF_LIFE);
         let away = self.away(server.listed.zone);
-        let factor = (-SPEED_POWER * sum / (count + prior)).exp().clamp(FACTOR_MIN, FACTOR_MAX);
+        let slow = SPEED_POWER * self.slowness(server, now);
+        let factor = (-slow).exp().clamp(FACTOR_MIN, FACTOR_MAX);
         server.listed.size.max(1e-6) * self.warmth(server, now) * factor / away / (1.0 + fails)
     }
 
@@ -507,7 +505,7 @@
     /// Learns from an attempt's time. Only answers teach what is typical; a
     /// time-out says "at least this slow", and an error says nothing, since a
     /// quick error must never look like speed.
-    fn learn(&mut self, now: Nanos, s: usize, what: Work, took: Nanos, ok: bool) {
+    fn learn(&mut self, now: Nanos, s: usize, what: (usize, Option<f64>), took: Nanos, ok: bool) {
         let ((class, cost), log) = (what, (took.max(1) as f64).ln());
         let kind = self.kind_of(s);
         let clip = |gap: f64| gap.clamp(-SAMPLE_CLIP, SAMPLE_CLIP);
@@ -543,11 +541,13 @@
 
     /// Expected time of a hinted request at a server; 0 if nothing is known.
     fn expected(&self, now: Nanos, s: usize, request: &Request) -> f64 {
+        self.usual(s, request) * self.slowness(&self.servers[s], now).exp()
+    }
+
+    /// Mean log latency ratio of a server's samples, drawn to 0 by the prior.
+    fn slowness(&self, server: &Server, now: Nanos) -> f64 {
         let (prior, half_life) = self.speed_memory();
-        let server = &self.servers[s];
-        let gap =
-            server.slow_sum.get(now, half_life) / (server.slow_count.get(now, half_life) + prior);
-        self.usual(s, request) * gap.exp()
+        server.slow_sum.get(now, half_life) / (server.slow_count.get(now, half_life) + prior)
     }
 
     fn speed_memory(&self) -> (f64, Nanos) {
@@ -587,7 +587,7 @@
             let server = &self.servers[at];
             let sum = server.slow_sum.get(now, half_life) / 2.0;
             let count = server.slow_count.get(now, half_life) / 2.0;
-            let (id, leaving) = (server.listed.id, server.leaving);
+            let (id, leaving) = (server.listed.id, server.leaving());
             if count > 0.05 && !leaving && told.servers.len() < room {
                 told.servers.push((id, sum, count));
                 self.add_evidence(now, at, -sum, -count);
@@ -626,7 +626,7 @@
 
     /// The one gate for sends: known, not leaving, cold budget left.
     fn may_send(&mut self, now: Nanos, s: usize) -> bool {
-        !self.servers[s].leaving && self.cold_credit(now, s) >= 1.0
+        !self.servers[s].leaving() && self.cold_credit(now, s) >= 1.0
     }
 
     /// Sends this instance may still make to a server. Danger: all together may
@@ -640,7 +640,7 @@
         let total: f64 = self
             .servers
             .iter()
-            .filter(|o| !o.leaving)
+            .filter(|o| !o.leaving())
             .map(|o| o.listed.size * self.warmth(o, now))
             .sum();
         let share = self.servers[s].listed.size / total.max(1e-9);
@@ -692,7 +692,7 @@
             return;
         }
         let live: Vec<usize> =
-            self.order.iter().copied().filter(|s| !self.servers[*s].leaving).collect();
+            self.order.iter().copied().filter(|s| !self.servers[*s].leaving()).collect();
         let fit = |s: &&usize| {
             let server = &self.servers[**s];
             server.ejected_until <= now && server.overdue == 0
@@ -740,7 +740,9 @@
         let group = legal.group_of.and_then(|id| self.index.get(&id)).copied();
         let class = &self.set.classes[request.class];
         let allowed = |s: usize| match (group, class.group) {
-            (None, _) | (_, Group::All) => true,
+            (_, Group::All) => true,
+            // Of a server that is forgotten the group is not known.
+            (None, _) => legal.group_of.is_none(),
             (Some(g), Group::Zone) => self.servers[s].listed.zone == self.servers[g].listed.zone,
             (Some(g), Group::Cell) => self.servers[s].listed.cell == self.servers[g].listed.cell,
         };
@@ -768,8 +770,7 @@
         let reported = pair.servers.iter().all(|s| self.has_report(now, *s));
         pair.servers.map(|s| {
             let server = &self.servers[s];
-            let known = server.report_queue + f64::from(server.sent_since);
-            [f64::from(server.in_flight), known][usize::from(reported)]
+            [f64::from(server.in_flight), server.report_queue][usize::from(reported)]
         })
     }
 
@@ -779,7 +780,7 @@
         if !self.has_report(now, s) {
             return 0.0;
         }
-        (server.report_queue + f64::from(server.sent_since)) / self.speed(server, now)
+        server.report_queue / self.speed(server, now)
     }
 
     fn has_report(&self, now: Nanos, s: usize) -> bool {
@@ -797,7 +798,7 @@
 
     fn ask(&mut self, now: Nanos, s: usize, out: Out<'_>) {
         let server = &mut self.servers[s];
-        if !server.leaving && now.saturating_sub(server.asked_at) > REPORT_FRESH {
+        if !server.leaving() && now.saturating_sub(server.asked_at) > REPORT_FRESH {
             server.asked_at = now;
             out.push(Action::Probe { server: server.listed.id });
         }
@@ -811,7 +812,7 @@
         let waiting = value(field(ReportField::Queue));
         let Some(queue) = held.or(waiting).map(|q| q + waiting.unwrap_or(0.0)) else { return };
         let size = self.servers[s].listed.size;
-        let all: f64 = self.servers.iter().filter(|o| !o.leaving).map(|o| o.listed.size).sum();
+        let all: f64 = self.servers.iter().filter(|o| !o.leaving()).map(|o| o.listed.size).sum();
         let usual = self.served_rate(now) * f64::from(self.set.instances) * size / all.max(1e-9);
         let server = &mut self.servers[s];
         // Learn whether reports keep up: the same figures again are old ones.
@@ -823,7 +824,6 @@
         server.report = report.to_vec();
         server.report_queue = queue;
         server.report_at = now;
-        server.sent_since = 0;
         if self.reports[0] + self.reports[1] < REPORT_TRIALS {
             server.asked_at = now;
             out.push(Action::Probe { server: id });
@@ -835,7 +835,13 @@
         }
     }
 
-    fn on_probed(&mut self, now: Nanos, id: ServerId, (ok, report): Probed, out: Out<'_>) {
+    fn on_probed(
+        &mut self,
+        now: Nanos,
+        id: ServerId,
+        (ok, report): (bool, Option<Vec<f64>>),
+        out: Out<'_>,
+    ) {
         match (report, self.index.get(&id)) {
             (Some(report), _) if ok => self.on_report(now, id, &report, out),
             (_, Some(&s)) if !ok => self.record_failure(now, s, 0.5),
@@ -891,8 +897,8 @@
         // refuses long after; answers in time let it fall faster from there.
         let above = (self.refuse_level - self.usual_level).max(0.0);
         let faster = if congested > 0.0 { 1.0 } else { 1.0 + ABOVE_GAIN * above };
-        self.refuse_level += step * (congested - CONGESTED_TARGET * faster);
-        self.refuse_level = self.refuse_level.clamp(0.0, 1.0);
+        let moved = self.refuse_level + step * (congested - CONGESTED_TARGET * faster);
+        self.refuse_level = moved.clamp(0.0, 1.0);
     }
 
     /// Danger: an instance that refuses most sees few ends, so the level must
@@ -944,11 +950,8 @@
         let level = (self.refuse_level - ADMIT_DEADBAND).max(0.0) / (1.0 - ADMIT_DEADBAND);
         let mut left = level;
         for c in by_density {
-            let share = if gain > self.set.goal.worst_class {
-                (left / work[c].max(1e-9)).min(ADMIT_MAX)
-            } else {
-                level.min(ADMIT_MAX)
-            };
+            let share = if gain > goal.worst_class { left / work[c].max(1e-9) } else { level };
+            let share = share.min(ADMIT_MAX);
             self.refuse[c] = share;
             left = (left - share * work[c]).max(0.0);
         }
@@ -1052,11 +1055,8 @@
     /// Sends a request if it can go somewhere, else holds or ends it.
     fn advance(&mut self, now: Nanos, id: &RequestId, out: Out<'_>) {
         let Some(request) = self.requests.get(id) else { return };
-        if request.finished
-            || request.streaming
-            || request.pair.is_some()
-            || request.attempts.iter().any(Attempt::out)
-        {
+        let settled = request.finished || request.streaming;
+        if settled || request.pair.is_some() || request.attempts.iter().any(Attempt::out) {
             return;
         }
         if self.try_send(now, id, out) {
@@ -1108,7 +1108,7 @@
         let (class, attempt, deadline) = (request.class, request.attempts.len(), request.deadline);
         let server = &mut self.servers[s];
         server.in_flight += 1;
-        server.sent_since += 1;
+        server.report_queue += 1.0;
         server.cold_credit -= 1.0;
         let server_id = server.listed.id;
         request.attempts.push(Attempt { server: server_id, sent: now, ..Attempt::default() });
@@ -1176,7 +1176,7 @@
                 Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => {
                     self.record_failure(now, s, 1.0)
                 }
-                Outcome::Full | Outcome::Cancelled | Outcome::Unused => {}
+                Outcome::Rejected | Outcome::Full | Outcome::Cancelled | Outcome::Unused => {}
             }
         }
         match outcome {
@@ -1187,20 +1187,17 @@
             _ => {}
         }
         if finished || was_finished {
-            self.close(&id);
-            return;
+            return self.close(&id);
         }
         // Never-run attempts go elsewhere at once; the rest asks the retry budget.
-        if !outcome.never_ran() {
-            if self.retry_credit < 1.0 {
-                if !self.requests[&id].attempts.iter().any(Attempt::out) {
-                    self.end(now, &id, out);
-                }
-                return;
-            }
-            self.retry_credit -= 1.0;
+        let price = f64::from(u8::from(!outcome.never_ran()));
+        // Danger: sent on, an unfit request would have every server turn it away.
+        if self.retry_credit >= price && outcome != Outcome::Rejected {
+            self.retry_credit -= price;
+            self.advance(now, &id, out);
+        } else if !self.requests[&id].attempts.iter().any(Attempt::out) {
+            self.end(now, &id, out);
         }
-        self.advance(now, &id, out);
     }
 
     /// Silence counts against the server, and as congestion, before any
@@ -1228,8 +1225,7 @@
 
     fn on_servers(&mut self, now: Nanos, kind: ListKind, entries: &[ListedServer], out: Out<'_>) {
         if kind == ListKind::Failed {
-            self.watching = false;
-            self.call_out = false;
+            (self.watching, self.call_out) = (false, false);
             let longest = self.set.ask_within.max(WATCH_RETRY);
             let span = (WATCH_RETRY << self.call_fails.min(6)).min(longest) as f64;
             self.call_fails += 1;
@@ -1238,25 +1234,26 @@
             return;
         }
         if kind != ListKind::Cached && self.call_out {
-            self.call_out = false;
-            self.watching = true;
-            self.call_fails = 0;
+            (self.watching, self.call_out, self.call_fails) = (true, false, 0);
         }
         if kind != ListKind::Changes {
             // What a complete list leaves out is gone.
-            self.servers.iter_mut().for_each(|server| server.leaving = true);
+            self.servers.iter_mut().for_each(|s| s.listed.condition = Condition::Gone);
         }
         for entry in entries {
             self.on_entry(now, entry);
         }
         let servers = &self.servers;
         self.order = (0..servers.len()).collect();
+        self.order.retain(|s| servers[*s].listed.condition != Condition::Gone);
+        // Its idle connections are of no use, and cost both sides descriptors.
+        let leaving = entries.iter().filter(|entry| entry.condition != Condition::Live);
+        out.extend(leaving.map(|entry| Action::CloseIdle { server: entry.id }));
         self.order.sort_by_key(|s| (servers[*s].rank, servers[*s].listed.id));
         self.line_stale = true;
     }
 
     fn on_entry(&mut self, now: Nanos, entry: &ListedServer) {
-        let leaving = entry.condition != Condition::Live;
         let started = (entry.started_at > 0
             && now.saturating_sub(entry.started_at) < self.set.cold)
             .then_some(entry.started_at);
@@ -1266,7 +1263,6 @@
             // A line that is cut short holds more of the own zone, by its price.
             rank: (-(hash as f64 / 1.9e19).ln() * self.away(entry.zone).sqrt() * 1e12) as u64,
             started,
-            leaving,
             cold_credit: self.rng.draw(),
             credit_at: now,
             ..Server::default()
@@ -1278,13 +1274,19 @@
                 let (in_flight, overdue) = (server.in_flight, server.overdue);
                 *server = Server { in_flight, overdue, ..fresh };
             } else {
-                (server.leaving, server.listed) = (leaving, entry.clone());
+                server.listed = entry.clone();
             }
             return;
         }
         // A server that is new to a list already held has just started, whatever it says.
         let started = started.or((!self.order.is_empty() && entry.started_at == 0).then_some(now));
-        self.index.insert(entry.id, self.servers.len());
+        // Danger: ids are ever new; the place of one gone serves the next.
+        let gone = |s: &Server| s.listed.condition == Condition::Gone;
+        let place = self.servers.iter().position(gone);
+        self.index.insert(entry.id, place.unwrap_or(self.servers.len()));
         self.servers.push(Server { started, ..fresh });
+        if let Some(place) = place {
+            self.index.remove(&self.servers.swap_remove(place).listed.id);
+        }
     }
 }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -8,19 +8,19 @@
 use crate::net::message::{parse_report, Held};
 use crate::net::peers::Peers;
 use crate::net::probe::Probing;
-use crate::net::upstream::{Answer, AnswerBody, Ended, Upstream};
+use crate::net::upstream::{Answer, Ended, To, Upstream};
 use eiderusher::api::*;
 use eiderusher::decide::Balancer;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::Request;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::future::poll_fn;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, OwnedSemaphorePermit};
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -55,9 +55,19 @@
     pub patience: Nanos,
 }
 
+/// A request as it goes to servers, with what its body takes of the budget.
+pub struct Message {
+    /// Its head and body.
+    pub request: Request<Held>,
+    /// The id that its client gave it.
+    pub txn: HeaderValue,
+    /// Given back with the last attempt.
+    pub _room: Option<OwnedSemaphorePermit>,
+}
+
 /// A request from its last byte to its final answer and its last attempt.
 struct Taken {
-    message: Request<Held>,
+    message: Message,
     deadline: Nanos,
     /// Absent once the client has its answer, or has left.
     reply: Option<oneshot::Sender<Reply>>,
@@ -68,14 +78,14 @@
 struct Attempt {
     server: ServerId,
     sent: Nanos,
-    /// When its answer's stream began.
-    streamed: Option<Nanos>,
     cancel: CancellationToken,
 }
 
 struct Core {
     balancer: Balancer,
     taken: HashMap<RequestId, Taken>,
+    /// Clients' ids of the requests above.
+    open: HashSet<HeaderValue>,
     events: VecDeque<Event>,
     timers: DelayQueue<u64>,
     last_id: u64,
@@ -88,7 +98,7 @@
     /// The servers by number.
     pub fleet: RefCell<Fleet>,
     clock: Clock,
-    upstream: Rc<Upstream>,
+    upstream: Upstream,
     probing: Probing,
     peers: Option<Peers>,
     discovery: Cell<SocketAddr>,
@@ -112,6 +122,7 @@
             core: RefCell::new(Core {
                 balancer,
                 taken: HashMap::new(),
+                open: HashSet::new(),
                 events: VecDeque::new(),
                 timers: DelayQueue::new(),
                 last_id: 0,
@@ -119,7 +130,7 @@
             }),
             fleet: RefCell::new(Fleet::new(config.names.clone())),
             clock,
-            upstream: Rc::new(Upstream::new(limits, connect_timeout, idle_timeout)),
+            upstream: Upstream::new(limits, connect_timeout, idle_timeout),
             probing: Probing {
                 fields: if mode == ReportMode::Absent { Vec::new() } else { fields.clone() },
                 timeout: connect_timeout,
@@ -208,11 +219,7 @@
                     core.timers.insert(token, Duration::from_nanos(after));
                 }
                 Action::Probe { server } => self.probe(core, server),
-                Action::CloseIdle { server } => {
-                    if let Some(address) = self.fleet.borrow().address(server) {
-                        self.upstream.close_idle(address);
-                    }
-                }
+                Action::CloseIdle { server } => self.upstream.close_idle(server),
                 Action::TellPeer { peer, payload } => {
                     if let Some(peers) = &self.peers {
                         peers.tell(peer, &payload);
@@ -239,11 +246,16 @@
     // ------------------------------------------------------------ requests
 
     /// Hands a client's request to the module and waits for the final answer.
-    /// Dropping the future tells the module that the client has left.
-    pub async fn serve(self: &Rc<Self>, arrival: Arrival, message: Request<Held>) -> Reply {
+    /// Dropping the future tells the module that the client has left. `None`
+    /// for a request whose id is that of one still open. Danger: a server would
+    /// take it for a second copy of that one.
+    pub async fn serve(self: &Rc<Self>, arrival: Arrival, message: Message) -> Option<Reply> {
         let (reply, answer) = oneshot::channel();
         let id: RequestId = {
             let mut core = self.core.borrow_mut();
+            if !core.open.insert(message.txn.clone()) {
+                return None;
+            }
             core.last_id += 1;
             let id: RequestId = core.last_id.to_string().into();
             let deadline = self.clock.now().saturating_add(arrival.patience);
@@ -263,7 +275,7 @@
             id
         };
         let _leaving = Leaving { driver: self, id };
-        answer.await.unwrap_or(Reply::Failed)
+        Some(answer.await.unwrap_or(Reply::Failed))
     }
 
     fn send(self: &Rc<Self>, core: &mut Core, id: RequestId, server: ServerId, timeout_at: Nanos) {
@@ -271,8 +283,7 @@
         let Some(taken) = core.taken.get_mut(&id) else { return };
         let number = taken.attempts.len() as u32;
         let cancel = CancellationToken::new();
-        let attempt = Attempt { server, sent: now, streamed: None, cancel: cancel.clone() };
-        let streaming = taken.attempts.iter().any(|a| a.streamed.is_some());
+        let attempt = Attempt { server, sent: now, cancel: cancel.clone() };
         taken.attempts.push(attempt);
         taken.out += 1;
         let until = match timeout_at {
@@ -281,18 +292,18 @@
         };
         let concluded = taken.reply.is_none();
         let exceeded = taken.attempts.len() > self.max_attempts;
-        if concluded || streaming || exceeded || until <= now {
+        if concluded || exceeded || until <= now {
             let end = core.end_attempt(&id, number, Outcome::Unused, None, now);
             core.events.extend(end);
             return;
         }
-        let address = self.fleet.borrow().address(server);
-        let mut message = taken.message.clone();
+        let to = self.to(server);
+        let mut message = taken.message.request.clone();
         let remaining = HeaderValue::from((until - now) / 1_000_000);
         message.headers_mut().insert(REMAINING, remaining);
         let until = self.clock.instant(until);
         let attempt = AttemptRun { driver: self.clone(), id, number };
-        spawn_local(attempt.run(address, message, until, cancel));
+        spawn_local(attempt.run(to, message, until, cancel));
     }
 
     fn attempt_ended(
@@ -308,8 +319,13 @@
         self.turn(&mut core);
     }
 
+    fn to(&self, server: ServerId) -> Option<To> {
+        let address = self.fleet.borrow().address(server)?;
+        Some(To { server, address })
+    }
+
     fn probe(self: &Rc<Self>, core: &mut Core, server: ServerId) {
-        let Some(address) = self.fleet.borrow().address(server) else {
+        let Some(to) = self.to(server) else {
             let outcome = Outcome::ConnectFailed;
             core.events.push_back(Event::Probed { server, outcome, took: 0, report: None });
             return;
@@ -317,8 +333,8 @@
         let driver = self.clone();
         spawn_local(async move {
             let sent = driver.clock.now();
-            let (outcome, report) = driver.probing.run(&driver.upstream, address).await;
-            let took = driver.clock.now() - sent;
+            let (outcome, report) = driver.probing.run(&driver.upstream, to).await;
+            let took = driver.clock.now().saturating_sub(sent);
             driver.post(Event::Probed { server, outcome, took, report });
         });
     }
@@ -364,7 +380,9 @@
     /// Drops a request's record once nothing more can come of it.
     fn forget(&mut self, id: &RequestId) {
         if self.taken.get(id).is_some_and(|t| t.reply.is_none() && t.out == 0) {
-            self.taken.remove(id);
+            if let Some(taken) = self.taken.remove(id) {
+                self.open.remove(&taken.message.txn);
+            }
         }
     }
 
@@ -380,8 +398,7 @@
         let taken = self.taken.get_mut(id)?;
         let attempt = taken.attempts.get(number as usize)?;
         taken.out -= 1;
-        // A long answer's time is that of its first bytes.
-        let took = attempt.streamed.unwrap_or(now) - attempt.sent;
+        let took = now.saturating_sub(attempt.sent);
         let server = attempt.server;
         let finished = taken.reply.is_none();
         self.forget(id);
@@ -400,50 +417,24 @@
 impl AttemptRun {
     async fn run(
         self,
-        server: Option<SocketAddr>,
+        to: Option<To>,
         message: Request<Held>,
         until: Instant,
         cancel: CancellationToken,
     ) {
         let driver = &self.driver;
-        let ended = match server {
-            Some(server) => driver.upstream.attempt(server, message, until, &cancel).await,
+        let ended = match to {
+            Some(to) => driver.upstream.attempt(to, message, until, &cancel).await,
             // No longer listed: nowhere to connect to.
             None => Outcome::ConnectFailed.into(),
         };
         let Ended { outcome, report, answer } = ended;
         let fields = driver.report_fields.as_deref();
         let report = report.zip(fields).and_then(|(text, fields)| parse_report(&text, fields));
-        match answer {
-            Some(answer @ Answer { body: AnswerBody::Long(_), .. }) => self.stream(answer, report),
-            answer => {
-                if let Some(answer) = answer {
-                    let mut core = driver.core.borrow_mut();
-                    core.conclude(&self.id, Reply::Served(Box::new(answer)));
-                }
-                driver.attempt_ended(&self.id, self.number, outcome, report);
-            }
-        }
-    }
-
-    /// Lets a long answer go on to its client; its end is the attempt's.
-    fn stream(self, mut answer: Answer, report: Option<Vec<f64>>) {
-        let (driver, id, attempt) = (self.driver, self.id, self.number);
-        if let AnswerBody::Long(body) = &mut answer.body {
-            let (driver, id) = (driver.clone(), id.clone());
-            body.on_end(Box::new(move |outcome| {
-                // The body may be dropped in the middle of a turn.
-                spawn_local(async move { driver.attempt_ended(&id, attempt, outcome, report) });
-            }));
-        }
-        let mut core = driver.core.borrow_mut();
-        let Some(taken) = core.taken.get_mut(&id) else { return };
-        taken.attempts[attempt as usize].streamed = Some(driver.clock.now());
-        if taken.reply.is_some() {
-            core.events.push_back(Event::StreamStarted { id: id.clone(), attempt });
-            driver.turn(&mut core);
+        if let Some(answer) = answer {
+            driver.core.borrow_mut().conclude(&self.id, Reply::Served(Box::new(answer)));
         }
-        core.conclude(&id, Reply::Served(Box::new(answer)));
+        driver.attempt_ended(&self.id, self.number, outcome, report);
     }
 }
 
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -1,20 +1,19 @@
 //! Clients' connections: requests in, answers out.
 
 use crate::net::config::Names;
-use crate::net::driver::{Arrival, Driver, Reply};
+use crate::net::driver::{Arrival, Driver, Message, Reply};
 use crate::net::limits::Limits;
-use crate::net::message::{strip_hop_by_hop, text, Held, Pieces};
+use crate::net::message::{strip_hop_by_hop, text, Held, BODY_MAX};
 use crate::net::socket::{close_gently, pending, Pending, Socket, Watcher};
-use crate::net::upstream::{Answer, AnswerBody, Long};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use eiderusher::api::{Nanos, Settings};
+use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -32,26 +31,32 @@
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tokio_util::sync::CancellationToken;
 
+/// Header with the id that a client gives a request.
+const TXN: &str = "x-txn";
 /// Connections that the kernel holds until they are accepted: crowds come by
 /// the thousand. The kernel cuts it to its own limit.
 const BACKLOG: i32 = 4096;
 /// Largest head of a request, and the most that the library buffers each way.
-const BUFFER_MAX: usize = 64 << 10;
+const BUFFER_MAX: usize = 32 << 10;
 /// Most headers in a request.
 const HEADERS_MAX: usize = 256;
-/// Longest body; the longest expected is 32 MB.
-const BODY_MAX: usize = 40 << 20;
-/// A client that has begun a request and is silent for so long has stopped.
-/// Slow ones take 2 s for a head and send bodies at 64 kB/s.
-const RECEIVE_SILENCE: Duration = Duration::from_secs(15);
-/// A client that takes nothing of its answer for so long has stopped; slow ones
-/// pause for seconds. No request waits for its answer as long as this.
-const SEND_SILENCE: Duration = Duration::from_secs(30);
+/// A request is whole so long after its first byte, and the first one of a
+/// connection so long after the connection. Guards against clients that say
+/// nothing, stop half-way or go on for ever; it would harm one that sends a
+/// request slower than this.
+const RECEIVE_LIMIT: Duration = Duration::from_millis(2_500);
+/// How much longer than the longest deadline a request may hold its connection:
+/// time for its client to take the answer.
+const SEND_LIMIT: Duration = Duration::from_secs(5);
 /// An idle connection is closed after this.
-const IDLE_SILENCE: Duration = Duration::from_secs(120);
+const IDLE_LIMIT: Duration = Duration::from_secs(20);
+/// With few places left, idle connections are closed after this.
+const IDLE_LEAST: Duration = Duration::from_secs(2);
+/// Part of the places under which few are left.
+const FEW_PLACES: usize = 4;
 /// How long a body waits for room among the bodies held. Its sender is held
 /// back meanwhile, and the client's time has not begun.
-const ROOM_WAIT: Duration = Duration::from_secs(2);
+const ROOM_WAIT: Duration = Duration::from_secs(1);
 /// Pause after the kernel has no descriptor or memory for a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Idle connections are closed so long after SIGTERM. By then no new ones come,
@@ -61,6 +66,8 @@
 /// What a client's connection is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Phase {
+    /// Its last answer is out; only its client's end is awaited.
+    Closing,
     /// Nothing, or part of its first request, has come.
     Fresh,
     /// Between requests.
@@ -71,54 +78,105 @@
     Busy,
 }
 
+/// Looks at the head of a request as it comes, for what the HTTP library hides.
+/// Danger: of a request with two framings the library drops one, unseen, and what
+/// one reader takes for the body another takes for a further request.
+#[derive(Debug, Default)]
+struct HeadScan {
+    /// The start of the line that is coming, in lower case.
+    line: Vec<u8>,
+    /// Whether a length, and an encoding, were stated.
+    framings: [bool; 2],
+    /// The blank line has come.
+    over: bool,
+}
+
+const FRAMINGS: [&[u8]; 2] = [b"content-length", b"transfer-encoding"];
+
+impl HeadScan {
+    fn read(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            match byte {
+                _ if self.over => return,
+                b'\r' => {}
+                b'\n' => {
+                    let name = self.line.split(|b| *b == b':').next().unwrap_or_default();
+                    let name = name.trim_ascii();
+                    for (stated, framing) in self.framings.iter_mut().zip(FRAMINGS) {
+                        *stated |= name == framing;
+                    }
+                    self.over = self.line.is_empty();
+                    self.line.clear();
+                }
+                // No name that matters is longer.
+                _ if self.line.len() < 32 => self.line.push(byte.to_ascii_lowercase()),
+                _ => {}
+            }
+        }
+    }
+}
+
 /// One connection as seen from outside its task.
 #[derive(Debug)]
 struct Client {
+    stream: Rc<TcpStream>,
     phase: Cell<Phase>,
-    moved: Cell<Instant>,
+    /// When that phase began.
+    since: Cell<Instant>,
+    /// How long a request may hold the connection.
+    busy_limit: Duration,
+    head: RefCell<HeadScan>,
     /// The library has no more of the answer to ask for.
     handed_over: Cell<bool>,
     evicted: CancellationToken,
 }
 
 impl Client {
-    fn new() -> Self {
+    fn new(stream: Rc<TcpStream>, busy_limit: Duration) -> Self {
         Client {
+            stream,
             phase: Cell::new(Phase::Fresh),
-            moved: Cell::new(Instant::now()),
+            since: Cell::new(Instant::now()),
+            busy_limit,
+            head: RefCell::default(),
             handed_over: Cell::new(false),
             evicted: CancellationToken::new(),
         }
     }
 
-    /// When the connection counts as dead if nothing moves on it.
+    fn enter(&self, phase: Phase) {
+        self.phase.set(phase);
+        self.since.set(Instant::now());
+    }
+
+    /// When the connection has been in its phase for too long.
     fn dead_at(&self) -> Instant {
-        self.moved.get()
+        self.since.get()
             + match self.phase.get() {
-                Phase::Fresh | Phase::Receiving => RECEIVE_SILENCE,
-                Phase::Idle => IDLE_SILENCE,
-                Phase::Busy => SEND_SILENCE,
+                Phase::Closing | Phase::Fresh | Phase::Receiving => RECEIVE_LIMIT,
+                Phase::Idle => IDLE_LIMIT,
+                Phase::Busy => self.busy_limit,
             }
     }
+
+    /// Whether its request said twice how long it is.
+    fn framed_twice(&self) -> bool {
+        self.head.borrow().framings == [true; 2]
+    }
 }
 
 impl Watcher for Client {
-    fn read(&self, count: usize) {
-        if count > 0 {
-            self.moved.set(Instant::now());
-            if self.phase.get() == Phase::Idle {
-                self.phase.set(Phase::Receiving);
-            }
+    fn read(&self, bytes: &[u8]) {
+        if !bytes.is_empty() && self.phase.get() == Phase::Idle {
+            self.enter(Phase::Receiving);
         }
-    }
-
-    fn wrote(&self, _: &[u8]) {
-        self.moved.set(Instant::now());
+        self.head.borrow_mut().read(bytes);
     }
 
     fn flushed(&self) {
         if self.handed_over.replace(false) {
-            self.phase.set(Phase::Idle);
+            *self.head.borrow_mut() = HeadScan::default();
+            self.enter(Phase::Idle);
         }
     }
 }
@@ -147,15 +205,21 @@
         self.last.get()
     }
 
-    /// Closes a connection to make room: of those that have sent nothing whole,
-    /// else of the idle ones, that on which nothing has moved for longest.
-    /// Danger: a crowd that connects and sends nothing would shut out the rest.
-    fn evict_one(&self) -> bool {
+    /// Closes a connection to make room: of those whose last answer is out, else
+    /// of those that have sent nothing, else of the idle ones, the one that is so
+    /// for longest, if it has been for `least`. Danger: a crowd that connects and
+    /// sends nothing would shut out the rest, and one whose request waits to be
+    /// read must not be closed for it.
+    fn evict_one(&self, least: Duration) -> bool {
         let clients = self.by_number.borrow();
-        let waiting = clients.values().filter(|c| !c.evicted.is_cancelled());
-        let victim = waiting
-            .filter(|c| c.phase.get() <= Phase::Idle)
-            .min_by_key(|c| (c.phase.get(), c.moved.get()));
+        let unwanted = |c: &&Rc<Client>| {
+            c.phase.get() <= Phase::Idle
+                && c.since.get().elapsed() >= least
+                && !c.evicted.is_cancelled()
+                && (c.phase.get() == Phase::Closing || pending(&c.stream) != Pending::Bytes)
+        };
+        let victim =
+            clients.values().filter(unwanted).min_by_key(|c| (c.phase.get(), c.since.get()));
         victim.inspect(|client| client.evicted.cancel()).is_some()
     }
 }
@@ -168,6 +232,8 @@
     clients: Clients,
     places: Arc<Semaphore>,
     room: Arc<Semaphore>,
+    /// How long a request may hold its connection.
+    busy_limit: Duration,
     draining: CancellationToken,
 }
 
@@ -193,13 +259,15 @@
         limits: &Limits,
         draining: CancellationToken,
     ) -> Rc<Self> {
+        let longest = settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
         Rc::new(Inbound {
             driver,
             settings,
             names,
             clients: Clients::default(),
             places: limits.clients.clone(),
-            room: limits.body_pieces.clone(),
+            room: limits.bodies.clone(),
+            busy_limit: Duration::from_nanos(longest) + SEND_LIMIT,
             draining,
         })
     }
@@ -211,12 +279,22 @@
 
     /// Accepts connections for ever.
     pub async fn accept(self: &Rc<Self>, listener: TcpListener) {
+        let all = self.places.available_permits();
         loop {
-            if self.places.available_permits() == 0 {
-                // With none to evict all are busy, and the kernel keeps the others.
-                self.clients.evict_one();
+            if self.places.available_permits() < all / FEW_PLACES {
+                self.clients.evict_one(IDLE_LEAST);
             }
-            let Ok(place) = self.places.clone().acquire_owned().await else { return };
+            let place = loop {
+                if self.places.available_permits() == 0 {
+                    // With none to evict all are busy, and the kernel keeps the others.
+                    self.clients.evict_one(Duration::ZERO);
+                }
+                match timeout(ACCEPT_PAUSE, self.places.clone().acquire_owned()).await {
+                    Ok(Ok(place)) => break place,
+                    Ok(Err(_)) => return,
+                    Err(_) => {}
+                }
+            };
             match listener.accept().await {
                 Ok((stream, _)) => {
                     spawn_local(self.clone().converse(stream, place));
@@ -232,13 +310,20 @@
             return;
         }
         let stream = Rc::new(stream);
-        let client = Rc::new(Client::new());
+        let client = Rc::new(Client::new(stream.clone(), self.busy_limit));
         let number = self.clients.add(client.clone());
         let mut prefix = Bytes::new();
         loop {
             match self.serve(&stream, &client, prefix).await {
                 Close::Again(rest) => prefix = rest,
-                Close::Gently => break close_gently(&stream).await,
+                Close::Gently => {
+                    client.enter(Phase::Closing);
+                    tokio::select! {
+                        () = close_gently(&stream) => {}
+                        () = client.evicted.cancelled() => {}
+                    }
+                    break;
+                }
                 Close::Now => break,
             }
         }
@@ -263,11 +348,6 @@
             () = self.unwanted(client) => return Close::Now,
         };
         match ended {
-            // Danger: an answer without a length must not look whole.
-            Err(error) if error.is_user() => {
-                let _ = SockRef::from(&**stream).set_linger(Some(Duration::ZERO));
-                Close::Now
-            }
             // A malformed request has had its answer, 400.
             Err(_) => Close::Gently,
             Ok(()) => {
@@ -295,7 +375,7 @@
             client.evicted.cancelled().await;
             // A request that came meanwhile is answered first.
             while client.phase.get() > Phase::Idle {
-                sleep(WIND_DOWN).await;
+                sleep(ACCEPT_PAUSE).await;
             }
         };
         let over = async {
@@ -319,56 +399,43 @@
         client: Rc<Client>,
         request: Request<Incoming>,
     ) -> Result<Response<Outgoing>, Infallible> {
-        let (status, retry_after, content) = if request.uri().path() == "/-/ready" {
-            let ready = !self.draining.is_cancelled();
-            let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-            (status, None, Content::Text(if ready { "ready\n" } else { "draining\n" }))
+        let draining = self.draining.is_cancelled();
+        let mut last = draining;
+        let mut headers = HeaderMap::new();
+        let (status, body) = if request.uri().path() == "/-/ready" {
+            match draining {
+                false => (StatusCode::OK, Bytes::from_static(b"ready\n")),
+                true => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"draining\n")),
+            }
         } else {
             match self.take(&client, request).await {
                 Ok(Reply::Served(answer)) => {
-                    return Ok(self.served(&client, *answer));
+                    headers = answer.headers;
+                    strip_hop_by_hop(&mut headers);
+                    (StatusCode::OK, answer.body)
                 }
                 Ok(Reply::Refused(after)) => {
-                    (StatusCode::SERVICE_UNAVAILABLE, Some(after), Content::Text("refused\n"))
+                    let seconds = HeaderValue::from_str(&format!("{:.3}", after as f64 / 1e9));
+                    if let Some(seconds) = seconds.ok().filter(|_| after > 0) {
+                        headers.insert(header::RETRY_AFTER, seconds);
+                    }
+                    (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"refused\n"))
+                }
+                Ok(Reply::Failed) => (StatusCode::BAD_GATEWAY, Bytes::from_static(b"failed\n")),
+                Err(unfit) => {
+                    // What comes behind such a request cannot be trusted either.
+                    last = true;
+                    (unfit.status, Bytes::from_static(unfit.what.as_bytes()))
                 }
-                Ok(Reply::Failed) => (StatusCode::BAD_GATEWAY, None, Content::Text("failed\n")),
-                Err(refusal) => (refusal.status, None, Content::Text(refusal.what)),
-            }
-        };
-        let mut response = Response::new(self.outgoing(&client, content));
-        *response.status_mut() = status;
-        if let Some(after) = retry_after.filter(|after| *after > 0) {
-            let seconds = format!("{:.3}", after as f64 / 1e9);
-            if let Ok(seconds) = HeaderValue::from_str(&seconds) {
-                response.headers_mut().insert(header::RETRY_AFTER, seconds);
             }
-        }
-        self.mark_closing(&mut response);
-        Ok(response)
-    }
-
-    fn served(&self, client: &Rc<Client>, answer: Answer) -> Response<Outgoing> {
-        let content = match answer.body {
-            AnswerBody::Whole(bytes) => Content::Whole(bytes),
-            AnswerBody::Long(body) => Content::Long(Box::new(body)),
         };
-        let mut response = Response::new(self.outgoing(client, content));
-        *response.headers_mut() = answer.headers;
-        strip_hop_by_hop(response.headers_mut());
-        self.mark_closing(&mut response);
-        response
-    }
-
-    fn outgoing(&self, client: &Rc<Client>, content: Content) -> Outgoing {
-        client.phase.set(Phase::Busy);
-        client.moved.set(Instant::now());
-        Outgoing { content, client: client.clone() }
-    }
-
-    fn mark_closing(&self, response: &mut Response<Outgoing>) {
-        if self.draining.is_cancelled() {
+        client.enter(Phase::Busy);
+        let mut response = Response::new(Outgoing { body: Full::new(body), client });
+        (*response.status_mut(), *response.headers_mut()) = (status, headers);
+        if last {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
+        Ok(response)
     }
 
     /// Reads a request whole and gets it its final answer.
@@ -377,16 +444,22 @@
         client: &Client,
         request: Request<Incoming>,
     ) -> Result<Reply, Unfit> {
+        let bad = |what| Unfit::new(StatusCode::BAD_REQUEST, what);
         let (mut head, mut body) = request.into_parts();
+        if client.framed_twice() {
+            return Err(bad("Content-Length and Transfer-Encoding\n"));
+        }
         let arrival = self.arrival(&head.headers)?;
-        let held = self.hold(&mut body).await?;
-        client.phase.set(Phase::Busy);
-        client.moved.set(Instant::now());
+        let txn = head.headers.get(TXN).cloned().ok_or(bad("X-Txn is missing\n"))?;
+        let (body, room) = self.hold(&mut body).await?;
+        client.enter(Phase::Busy);
         strip_hop_by_hop(&mut head.headers);
         head.version = hyper::Version::HTTP_11;
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-        head.uri = path.parse().map_err(|_| Unfit::new(StatusCode::BAD_REQUEST, "path\n"))?;
-        Ok(self.driver.serve(arrival, Request::from_parts(head, held)).await)
+        head.uri = path.parse().map_err(|_| bad("path\n"))?;
+        let request = Request::from_parts(head, body);
+        let reply = self.driver.serve(arrival, Message { request, txn, _room: room }).await;
+        reply.ok_or(Unfit::new(StatusCode::CONFLICT, "X-Txn is that of an open request\n"))
     }
 
     /// Reads what the module is told of a request.
@@ -395,7 +468,7 @@
         let number_of = |header: &str, of: &[String]| {
             text(headers, header).and_then(|name| of.iter().position(|n| n == name))
         };
-        if text(headers, "x-txn").is_none_or(str::is_empty) {
+        if text(headers, TXN).is_none_or(str::is_empty) {
             return Err(bad("X-Txn is missing\n"));
         }
         let class =
@@ -434,34 +507,33 @@
     }
 
     /// Reads a body, as far as there is room for it among those held.
-    async fn hold(&self, body: &mut Incoming) -> Result<Held, Unfit> {
-        let mut pieces = Pieces::default();
+    async fn hold(
+        &self,
+        body: &mut Incoming,
+    ) -> Result<(Held, Option<OwnedSemaphorePermit>), Unfit> {
+        let too_long = Unfit::new(StatusCode::PAYLOAD_TOO_LARGE, "body is too long\n");
+        if body.size_hint().lower() > BODY_MAX as u64 {
+            return Err(too_long);
+        }
+        let (mut held, mut room) = (BytesMut::new(), None::<OwnedSemaphorePermit>);
         while let Some(frame) = poll_fn(|cx| Pin::new(&mut *body).poll_frame(cx)).await {
             let frame = frame.map_err(|_| Unfit::new(StatusCode::BAD_REQUEST, "body\n"))?;
             let Ok(data) = frame.into_data() else { continue };
-            if pieces.len() + data.len() > BODY_MAX {
-                return Err(Unfit::new(StatusCode::PAYLOAD_TOO_LARGE, "body is too long\n"));
+            if held.len() + data.len() > BODY_MAX {
+                return Err(too_long);
             }
-            let needed = pieces.needs(data.len());
-            if needed > 0 {
-                let more = self.room.clone().acquire_many_owned(needed as u32);
-                let Ok(Ok(permit)) = timeout(ROOM_WAIT, more).await else {
-                    drop(pieces);
-                    // Nothing has been sent for it: the client may try again.
-                    self.read_out(body).await;
-                    return Err(Unfit::new(StatusCode::SERVICE_UNAVAILABLE, "no room\n"));
-                };
-                pieces.add_room(permit);
+            let more = self.room.clone().acquire_many_owned(data.len() as u32);
+            let Ok(Ok(more)) = timeout(ROOM_WAIT, more).await else {
+                // Nothing has been sent for it: the client may try again.
+                return Err(Unfit::new(StatusCode::SERVICE_UNAVAILABLE, "no room\n"));
+            };
+            match &mut room {
+                Some(room) => room.merge(more),
+                None => room = Some(more),
             }
-            pieces.push(&data);
+            held.extend_from_slice(&data);
         }
-        Ok(pieces.finish())
-    }
-
-    /// Reads the rest of a body and drops it, so that its sender gets to read
-    /// the answer.
-    async fn read_out(&self, body: &mut Incoming) {
-        while let Some(Ok(_)) = poll_fn(|cx| Pin::new(&mut *body).poll_frame(cx)).await {}
+        Ok((Held::new(held.freeze()), room))
     }
 }
 
@@ -488,15 +560,9 @@
 
 // ----------------------------------------------------------------- answers
 
-enum Content {
-    Text(&'static str),
-    Whole(Bytes),
-    Long(Box<Long>),
-}
-
 /// An answer's body on its way to a client.
 struct Outgoing {
-    content: Content,
+    body: Full<Bytes>,
     client: Rc<Client>,
 }
 
@@ -508,33 +574,39 @@
 
 impl Body for Outgoing {
     type Data = Bytes;
-    type Error = io::Error;
+    type Error = Infallible;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        let bytes = match &mut self.content {
-            Content::Text(text) => Bytes::from_static(std::mem::take(text).as_bytes()),
-            Content::Whole(bytes) => std::mem::take(bytes),
-            Content::Long(body) => return Pin::new(body.as_mut()).poll_frame(cx),
-        };
-        Poll::Ready(Some(bytes).filter(|b| !b.is_empty()).map(|b| Ok(Frame::data(b))))
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
     }
 
     fn is_end_stream(&self) -> bool {
-        match &self.content {
-            Content::Text(text) => text.is_empty(),
-            Content::Whole(bytes) => bytes.is_empty(),
-            Content::Long(body) => body.is_end_stream(),
-        }
+        self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        match &self.content {
-            Content::Text(text) => SizeHint::with_exact(text.len() as u64),
-            Content::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
-            Content::Long(body) => body.size_hint(),
+        self.body.size_hint()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn both_framings_are_seen_however_the_head_is_cut() {
+        let twice = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nCONTENT-length :3\r\n\r\n";
+        let once = b"POST / HTTP/1.1\r\nContent-Length: 23\r\n\r\nTransfer-Encoding: a\r\n\r\n";
+        for (head, found) in [(&twice[..], [true; 2]), (once, [true, false])] {
+            for cut in 0..head.len() {
+                let mut scan = HeadScan::default();
+                scan.read(&head[..cut]);
+                scan.read(&head[cut..]);
+                assert_eq!(scan.framings, found, "{cut}");
+            }
         }
     }
 }
--- a/src/net/limits.rs
+++ b/src/net/limits.rs
@@ -1,6 +1,7 @@
 //! Budgets: descriptors and the bytes of bodies held.
 
 use crate::net::config::Config;
+use crate::net::message::BODY_MAX;
 use std::sync::Arc;
 use tokio::sync::Semaphore;
 
@@ -11,12 +12,9 @@
 /// Part of the rest that is kept for connections to servers. A client being
 /// served holds one of each; most clients are idle.
 const UPSTREAM_SHARE: f64 = 0.4;
-/// Part of the memory limit that bodies of requests may fill, past the first
-/// piece of each. The rest is for those, for the libraries' buffers (up to
-/// 64 KiB each way a connection) and for answers.
-const BODY_SHARE: f64 = 0.4;
-/// Bodies are held in pieces of this size.
-pub const PIECE: usize = 64 << 10;
+/// Part of the memory limit that the bodies of requests may fill. The rest is for
+/// the libraries' buffers (32 KiB each way a connection at most) and for answers.
+const BODY_SHARE: f64 = 0.3;
 
 /// What the process may hold at one time.
 #[derive(Debug)]
@@ -25,20 +23,20 @@
     pub clients: Arc<Semaphore>,
     /// Connections to servers, idle ones too.
     pub upstream: Arc<Semaphore>,
-    /// Pieces of requests' bodies.
-    pub body_pieces: Arc<Semaphore>,
+    /// Bytes of requests' bodies.
+    pub bodies: Arc<Semaphore>,
 }
 
 impl Limits {
     /// Divides what the configuration allows.
     pub fn new(config: &Config) -> Self {
-        let sockets = config.sockets - OTHER_DESCRIPTORS;
+        let sockets = config.sockets.saturating_sub(OTHER_DESCRIPTORS);
         let upstream = (sockets as f64 * UPSTREAM_SHARE) as usize;
-        let pieces = (config.memory as f64 * BODY_SHARE) as usize / PIECE;
+        let bodies = (config.memory as f64 * BODY_SHARE) as usize;
         Limits {
             clients: Arc::new(Semaphore::new(sockets - upstream)),
             upstream: Arc::new(Semaphore::new(upstream)),
-            body_pieces: Arc::new(Semaphore::new(pieces.min(Semaphore::MAX_PERMITS))),
+            bodies: Arc::new(Semaphore::new(bodies.clamp(BODY_MAX, Semaphore::MAX_PERMITS))),
         }
     }
 }
--- a/src/net/probe.rs
+++ b/src/net/probe.rs
@@ -1,10 +1,9 @@
 //! Probes: whether a server is healthy, and how loaded.
 
 use crate::net::message::{parse_report, Held};
-use crate::net::upstream::{Probe, Upstream};
+use crate::net::upstream::{To, Upstream};
 use eiderusher::api::Outcome;
 use hyper::{header, Request, StatusCode};
-use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -19,25 +18,21 @@
 
 impl Probing {
     /// Probes a server; the outcome and its load report.
-    pub async fn run(
-        &self,
-        upstream: &Upstream,
-        server: SocketAddr,
-    ) -> (Outcome, Option<Vec<f64>>) {
+    pub async fn run(&self, upstream: &Upstream, to: To) -> (Outcome, Option<Vec<f64>>) {
         let path = if self.fields.is_empty() { "/-/healthy" } else { "/-/load" };
         let mut request = Request::new(Held::default());
         *request.uri_mut() = hyper::Uri::from_static(path);
-        if let Ok(host) = server.to_string().parse() {
+        if let Ok(host) = to.address.to_string().parse() {
             request.headers_mut().insert(header::HOST, host);
         }
-        match timeout(self.timeout, upstream.get(server, request)).await {
-            Ok(Probe::Answered(StatusCode::OK, body)) => {
+        match timeout(self.timeout, upstream.get(to, request)).await {
+            Ok(Ok((StatusCode::OK, body))) => {
                 let text = std::str::from_utf8(&body).unwrap_or_default();
                 let report = parse_report(text, &self.fields).filter(|r| !r.is_empty());
                 (Outcome::Ok, report)
             }
-            Ok(Probe::Answered(..)) => (Outcome::Error, None),
-            Ok(Probe::Failed(outcome)) => (outcome, None),
+            Ok(Ok(_)) => (Outcome::Error, None),
+            Ok(Err(outcome)) => (outcome, None),
             Err(_) => (Outcome::TimedOut, None),
         }
     }
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -16,8 +16,8 @@
 
 /// Learns what passes through a socket.
 pub trait Watcher {
-    /// So many bytes were read.
-    fn read(&self, _count: usize) {}
+    /// These bytes were read; none at the end.
+    fn read(&self, _bytes: &[u8]) {}
     /// The kernel took these bytes.
     fn wrote(&self, _bytes: &[u8]) {}
     /// All that was to be written has been.
@@ -48,16 +48,18 @@
     ) -> Poll<io::Result<()>> {
         if self.prefix.has_remaining() {
             let count = self.prefix.remaining().min(buf.remaining());
-            buf.put_slice(&self.prefix.split_to(count));
-            self.watcher.read(count);
+            let bytes = self.prefix.split_to(count);
+            buf.put_slice(&bytes);
+            self.watcher.read(&bytes);
             return Poll::Ready(Ok(()));
         }
         loop {
             ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read(buf.initialize_unfilled()) {
+            let room = buf.initialize_unfilled();
+            match self.stream.try_read(room) {
                 Ok(count) => {
+                    self.watcher.read(&room[..count]);
                     buf.advance(count);
-                    self.watcher.read(count);
                     return Poll::Ready(Ok(()));
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,45 +1,40 @@
 //! Connections to servers, and one exchange on one connection.
 
 use crate::net::limits::Limits;
-use crate::net::message::Held;
+use crate::net::message::{text, Held, BODY_MAX};
 use crate::net::socket::{pending, Pending, Socket, Watcher};
 use bytes::{Bytes, BytesMut};
-use eiderusher::api::Outcome;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use eiderusher::api::{Outcome, ServerId};
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
-use hyper::header::HeaderMap;
+use hyper::header::{self, HeaderMap};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::future::{poll_fn, Future};
-use std::io;
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{ready, Context, Poll};
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::{sleep_until, timeout, Instant, Sleep};
+use tokio::time::{sleep_until, timeout, Instant};
 use tokio_util::sync::CancellationToken;
 
-/// Answers up to this size are held whole, so that a break can be tried again.
-const HELD_MAX: usize = 64 << 10;
 /// Largest head of an answer, and the most that the library buffers each way.
-const BUFFER_MAX: usize = 64 << 10;
+const BUFFER_MAX: usize = 32 << 10;
 /// Most headers in an answer.
 const HEADERS_MAX: usize = 256;
-/// A server that is silent for so long in the middle of a long answer has left
-/// it unfinished. Slow ones pause for seconds.
-const STREAM_SILENCE: Duration = Duration::from_secs(10);
+/// An answer that stops half-way for so long will not be whole. Servers write one
+/// in one go, so this catches lengths that are too long, heads that don't end and
+/// servers cut off while they write; it would harm one that writes bit by bit.
+const ANSWER_STALL: Duration = Duration::from_millis(400);
 /// Part of the servers' idle limit after which a connection is closed from this
 /// side, so that a request does not cross the server's close.
 const IDLE_SHARE: f64 = 0.8;
-/// How long the rest of an answer that is of no use may take to come before the
-/// connection is given up with it.
-const TAIL_WAIT: Duration = Duration::from_millis(20);
 /// Longest body of a load report, or of an answer that is not 200.
 const SMALL_MAX: usize = 4 << 10;
 /// Header that marks an answer which the server never ran the request for.
@@ -47,13 +42,15 @@
 /// Header that carries a load report.
 const LOAD_REPORT: &str = "x-pressure";
 
-/// Counts what the kernel took of one request.
+/// Follows one exchange: what the kernel took of the request, when bytes came back.
 #[derive(Debug, Default)]
 struct Meter {
     body: Cell<u64>,
     /// How much of the head's closing blank line has passed.
     matched: Cell<usize>,
     body_taken: Cell<u64>,
+    /// When part of an answer last came, while the rest is awaited.
+    answering: Cell<Option<Instant>>,
 }
 
 impl Meter {
@@ -61,6 +58,7 @@
         self.body.set(body);
         self.matched.set(0);
         self.body_taken.set(0);
+        self.answering.set(None);
     }
 
     /// Whether the last byte may have reached the server.
@@ -72,6 +70,12 @@
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
 impl Watcher for Meter {
+    fn read(&self, bytes: &[u8]) {
+        // What ends in a blank line may be an answer ahead of the answer.
+        let rest = !bytes.is_empty() && !bytes.ends_with(HEAD_END);
+        self.answering.set(rest.then(Instant::now));
+    }
+
     fn wrote(&self, bytes: &[u8]) {
         let mut matched = self.matched.get();
         let mut rest = bytes.iter();
@@ -90,6 +94,15 @@
 
 type Driven = Connection<TokioIo<Socket<Meter>>, Held>;
 
+/// A server and where it listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct To {
+    /// Its number.
+    pub server: ServerId,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
 /// One connection. It is driven by whoever uses it, so that dropping it closes
 /// the socket then and there: no copy of a request outlives its attempt.
 struct Link {
@@ -97,40 +110,55 @@
     driven: Option<Pin<Box<Driven>>>,
     stream: Rc<TcpStream>,
     meter: Rc<Meter>,
-    server: SocketAddr,
+    to: To,
     rested: Instant,
     _permit: OwnedSemaphorePermit,
 }
 
 impl Link {
-    fn drive(&mut self, cx: &mut Context<'_>) {
-        if let Some(driven) = &mut self.driven {
-            if driven.as_mut().poll(cx).is_ready() {
-                self.driven = None;
-            }
+    /// Sends a request and waits for the head of its answer.
+    async fn ask(&mut self, request: Request<Held>) -> Result<Response<Incoming>, Outcome> {
+        self.meter.expect(request.body().size_hint().lower());
+        let mut response = pin!(self.send.send_request(request));
+        let (driven, meter) = (&mut self.driven, &self.meter);
+        let answered = poll_fn(|cx| {
+            drive(driven, cx);
+            response.as_mut().poll(cx)
+        });
+        tokio::select! {
+            biased;
+            answered = answered => answered.map_err(|error| broken(meter, &error)),
+            () = stalled(meter) => Err(Outcome::Error),
         }
     }
 
-    /// Waits for something that this connection's traffic brings about.
-    async fn until<F: Future>(&mut self, mut what: Pin<&mut F>) -> F::Output {
-        poll_fn(|cx| {
-            self.drive(cx);
-            what.as_mut().poll(cx)
-        })
-        .await
-    }
-
-    async fn frame(&mut self, body: &mut Incoming) -> Option<hyper::Result<Frame<Bytes>>> {
-        poll_fn(|cx| {
-            self.drive(cx);
-            Pin::new(&mut *body).poll_frame(cx)
-        })
-        .await
+    /// Reads an answer's body; spoilt if it is longer than `most` or stops.
+    async fn body(&mut self, mut body: Incoming, most: usize) -> Result<Bytes, Outcome> {
+        if body.size_hint().lower() > most as u64 {
+            return Err(Outcome::Error);
+        }
+        let mut read = BytesMut::new();
+        let whole = async {
+            loop {
+                let frame = poll_fn(|cx| {
+                    drive(&mut self.driven, cx);
+                    Pin::new(&mut body).poll_frame(cx)
+                });
+                let Some(frame) = frame.await else { return Ok(()) };
+                let frame = frame.map_err(|error| broken(&self.meter, &error))?;
+                read.extend_from_slice(&frame.into_data().unwrap_or_default());
+                if read.len() > most {
+                    return Err(Outcome::Error);
+                }
+            }
+        };
+        timeout(ANSWER_STALL, whole).await.unwrap_or(Err(Outcome::Error))?;
+        Ok(read.freeze())
     }
 
     /// Whether the connection can carry another request at once.
     fn settle(&mut self, cx: &mut Context<'_>) -> bool {
-        self.drive(cx);
+        drive(&mut self.driven, cx);
         self.driven.is_some()
             && self.meter.whole()
             && matches!(self.send.poll_ready(cx), Poll::Ready(Ok(())))
@@ -142,6 +170,25 @@
     }
 }
 
+fn drive(connection: &mut Option<Pin<Box<Driven>>>, cx: &mut Context<'_>) {
+    if let Some(driven) = connection {
+        if driven.as_mut().poll(cx).is_ready() {
+            *connection = None;
+        }
+    }
+}
+
+/// Waits until an answer that has begun stops coming.
+async fn stalled(meter: &Meter) {
+    loop {
+        let due = meter.answering.get().map(|at| at + ANSWER_STALL);
+        match due {
+            Some(due) if due <= Instant::now() => return,
+            _ => sleep_until(due.unwrap_or(Instant::now() + ANSWER_STALL)).await,
+        }
+    }
+}
+
 /// What came of one exchange.
 pub struct Ended {
     /// How it ended.
@@ -158,25 +205,19 @@
     }
 }
 
-/// A server's answer.
+/// A server's answer, whole.
 pub struct Answer {
     /// Its headers.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: AnswerBody,
-}
-
-/// The body of an answer, whole or still coming.
-pub enum AnswerBody {
-    /// All of it.
-    Whole(Bytes),
-    /// Too long to hold.
-    Long(Long),
+    pub body: Bytes,
 }
 
 /// All connections to servers.
 pub struct Upstream {
-    idle: RefCell<HashMap<SocketAddr, VecDeque<Link>>>,
+    /// Danger: kept by server, not by address, or one that takes over the address
+    /// of another would be sent requests on connections to the dead one.
+    idle: RefCell<HashMap<ServerId, VecDeque<Link>>>,
     budget: Arc<Semaphore>,
     connect_timeout: Duration,
     idle_max: Duration,
@@ -194,7 +235,7 @@
     }
 
     /// Closes the idle connections to a server.
-    pub fn close_idle(&self, server: SocketAddr) {
+    pub fn close_idle(&self, server: ServerId) {
         self.idle.borrow_mut().remove(&server);
     }
 
@@ -206,21 +247,29 @@
         });
     }
 
-    fn take_idle(&self, server: SocketAddr) -> Option<Link> {
+    fn take_idle(&self, to: To) -> Option<Link> {
         let mut idle = self.idle.borrow_mut();
-        let links = idle.get_mut(&server)?;
+        let links = idle.get_mut(&to.server)?;
         // The one used last: the others get to rest until they are closed.
         while let Some(link) = links.pop_back() {
-            if link.alive() && link.rested.elapsed() < self.idle_max {
+            if link.to == to && link.alive() && link.rested.elapsed() < self.idle_max {
                 return Some(link);
             }
         }
         None
     }
 
+    /// A connection that can carry a request now.
+    async fn link(&self, to: To) -> Result<Link, Outcome> {
+        match self.take_idle(to) {
+            Some(link) => Ok(link),
+            None => self.connect(to).await,
+        }
+    }
+
     fn keep(&self, mut link: Link) {
         link.rested = Instant::now();
-        self.idle.borrow_mut().entry(link.server).or_default().push_back(link);
+        self.idle.borrow_mut().entry(link.to.server).or_default().push_back(link);
     }
 
     /// Closes the idle connection that has rested longest.
@@ -232,13 +281,15 @@
         }
     }
 
-    async fn connect(&self, server: SocketAddr) -> Option<Link> {
+    async fn connect(&self, to: To) -> Result<Link, Outcome> {
+        if self.budget.available_permits() == 0 {
+            self.close_oldest();
+        }
+        // Danger: out of descriptors of its own, this side must not blame the server.
+        let permit = timeout(self.connect_timeout, self.budget.clone().acquire_owned()).await;
+        let Ok(Ok(permit)) = permit else { return Err(Outcome::Unused) };
         let up = async {
-            if self.budget.available_permits() == 0 {
-                self.close_oldest();
-            }
-            let permit = self.budget.clone().acquire_owned().await.ok()?;
-            let stream = TcpStream::connect(server).await.ok()?;
+            let stream = TcpStream::connect(to.address).await.ok()?;
             stream.set_nodelay(true).ok()?;
             let (stream, meter) = (Rc::new(stream), Rc::new(Meter::default()));
             let socket = Socket::new(stream.clone(), meter.clone(), Bytes::new());
@@ -247,15 +298,16 @@
             let (send, driven) = builder.handshake(TokioIo::new(socket)).await.ok()?;
             let driven = Some(Box::pin(driven));
             let rested = Instant::now();
-            Some(Link { send, driven, stream, meter, server, rested, _permit: permit })
+            Some(Link { send, driven, stream, meter, to, rested, _permit: permit })
         };
-        timeout(self.connect_timeout, up).await.ok().flatten()
+        let up = timeout(self.connect_timeout, up).await.ok().flatten();
+        up.ok_or(Outcome::ConnectFailed)
     }
 
     /// Sends a request once, on one connection, and never again.
     pub async fn attempt(
-        self: &Rc<Self>,
-        server: SocketAddr,
+        &self,
+        to: To,
         request: Request<Held>,
         until: Instant,
         cancel: &CancellationToken,
@@ -263,7 +315,7 @@
         let meter = RefCell::new(None);
         let stopped = tokio::select! {
             biased;
-            ended = self.exchange(server, request, &meter) => return ended,
+            ended = self.exchange(to, request, &meter) => return ended,
             () = cancel.cancelled() => Outcome::Cancelled,
             () = sleep_until(until) => Outcome::TimedOut,
         };
@@ -274,80 +326,49 @@
     }
 
     async fn exchange(
-        self: &Rc<Self>,
-        server: SocketAddr,
+        &self,
+        to: To,
         request: Request<Held>,
         meter: &RefCell<Option<Rc<Meter>>>,
     ) -> Ended {
-        let link = match self.take_idle(server) {
-            Some(link) => Some(link),
-            None => self.connect(server).await,
+        let mut link = match self.link(to).await {
+            Ok(link) => link,
+            Err(outcome) => return outcome.into(),
         };
-        let Some(mut link) = link else { return Outcome::ConnectFailed.into() };
-        link.meter.expect(request.body().len());
         *meter.borrow_mut() = Some(link.meter.clone());
-        let response = {
-            let response = pin!(link.send.send_request(request));
-            link.until(response).await
-        };
-        match response {
+        match link.ask(request).await {
             Ok(response) => self.receive(link, response).await,
-            Err(error) => broken(&link, &error).into(),
+            Err(outcome) => outcome.into(),
         }
     }
 
-    async fn receive(self: &Rc<Self>, mut link: Link, response: Response<Incoming>) -> Ended {
-        let (head, mut body) = response.into_parts();
-        let report = crate::net::message::text(&head.headers, LOAD_REPORT).map(str::to_string);
-        if head.status != StatusCode::OK {
-            let away = matches!(head.status.as_u16(), 503 | 504)
-                && crate::net::message::text(&head.headers, TURNED_AWAY) == Some("1");
-            self.finish(link, body).await;
-            let outcome = if away { Outcome::Full } else { Outcome::Error };
-            return Ended { outcome, report, answer: None };
+    async fn receive(&self, mut link: Link, response: Response<Incoming>) -> Ended {
+        let (head, body) = response.into_parts();
+        let report = text(&head.headers, LOAD_REPORT).map(str::to_string);
+        let away = text(&head.headers, TURNED_AWAY) == Some("1");
+        if !framed(&head.headers) {
+            return Ended { outcome: Outcome::Error, report, answer: None };
         }
-        let known_long = body.size_hint().lower() > HELD_MAX as u64;
-        let mut held = BytesMut::new();
-        let body = loop {
-            match link.frame(&mut body).await {
-                Some(Ok(frame)) => {
-                    let Ok(data) = frame.into_data() else { continue };
-                    if known_long || held.len() + data.len() > HELD_MAX {
-                        let head = [held.freeze(), data].into_iter().filter(|b| !b.is_empty());
-                        let head = head.collect();
-                        break AnswerBody::Long(Long::new(self.clone(), link, head, body));
-                    }
-                    held.extend_from_slice(&data);
-                }
-                Some(Err(error)) => {
-                    let outcome = broken(&link, &error);
-                    return Ended { outcome, report, answer: None };
-                }
-                None => {
-                    self.rest(link);
-                    break AnswerBody::Whole(held.freeze());
-                }
-            }
+        let outcome = match head.status.as_u16() {
+            200 => Outcome::Ok,
+            503 | 504 if away => Outcome::Full,
+            400..=499 => Outcome::Rejected,
+            _ => Outcome::Error,
         };
-        let answer = Some(Answer { headers: head.headers, body });
-        Ended { outcome: Outcome::Ok, report, answer }
-    }
-
-    /// Reads a short answer's rest if it comes at once, to keep the connection.
-    async fn finish(&self, mut link: Link, mut body: Incoming) -> Option<Bytes> {
-        let rest = async {
-            let mut read = BytesMut::new();
-            while let Some(frame) = link.frame(&mut body).await {
-                read.extend_from_slice(&frame.ok()?.into_data().unwrap_or_default());
-                if read.len() > SMALL_MAX {
-                    return None;
-                }
+        let most = if outcome == Outcome::Ok { BODY_MAX } else { SMALL_MAX };
+        match link.body(body, most).await {
+            Ok(body) => {
+                self.rest(link);
+                let answer = Answer { headers: head.headers, body };
+                let answer = (outcome == Outcome::Ok).then_some(answer);
+                Ended { outcome, report, answer }
             }
-            Some(read.freeze())
-        };
-        let read = timeout(TAIL_WAIT, rest).await.ok().flatten()?;
-        self.rest(link);
-        Some(read)
+            Err(spoilt) if outcome == Outcome::Ok => {
+                Ended { outcome: spoilt, report, answer: None }
+            }
+            // The head has said what became of the request.
+            Err(_) => Ended { outcome, report, answer: None },
+        }
     }
 
     /// Keeps a connection whose exchange is over, if it can carry another.
@@ -359,39 +380,29 @@
     }
 
     /// Asks a server for a page; its status and short body.
-    pub async fn get(&self, server: SocketAddr, request: Request<Held>) -> Probe {
-        let link = match self.take_idle(server) {
-            Some(link) => Some(link),
-            None => self.connect(server).await,
-        };
-        let Some(mut link) = link else { return Probe::Failed(Outcome::ConnectFailed) };
-        link.meter.expect(0);
-        let response = {
-            let response = pin!(link.send.send_request(request));
-            link.until(response).await
-        };
-        match response {
-            Ok(response) => {
-                let (head, body) = response.into_parts();
-                let body = self.finish(link, body).await.unwrap_or_default();
-                Probe::Answered(head.status, body)
-            }
-            Err(error) => Probe::Failed(broken(&link, &error)),
-        }
+    pub async fn get(
+        &self,
+        to: To,
+        request: Request<Held>,
+    ) -> Result<(StatusCode, Bytes), Outcome> {
+        let mut link = self.link(to).await?;
+        let (head, body) = link.ask(request).await?.into_parts();
+        let body = link.body(body, SMALL_MAX).await?;
+        self.rest(link);
+        Ok((head.status, body))
     }
 }
 
-/// What came of a probe.
-pub enum Probe {
-    /// An answer: its status and body.
-    Answered(StatusCode, Bytes),
-    /// None.
-    Failed(Outcome),
+/// Whether an answer's end can be told from a break: it has one length, or one
+/// sure end. Danger: an answer that ends with its connection may be cut short, and
+/// one with both framings may be read in two ways.
+fn framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::TRANSFER_ENCODING) != headers.contains_key(header::CONTENT_LENGTH)
 }
 
 /// The outcome when an exchange breaks off.
-fn broken(link: &Link, error: &hyper::Error) -> Outcome {
-    if !link.meter.whole() {
+fn broken(meter: &Meter, error: &hyper::Error) -> Outcome {
+    if !meter.whole() {
         Outcome::ConnectFailed
     } else if error.is_parse() {
         Outcome::Error
@@ -400,111 +411,6 @@
     }
 }
 
-/// What is told when a long answer ends.
-type OnEnd = Box<dyn FnOnce(Outcome)>;
-
-/// A long answer on its way from a server to a client. The client's reading
-/// drives the server's connection, so no more than buffers is ever held.
-pub struct Long {
-    upstream: Rc<Upstream>,
-    link: Option<Link>,
-    head: VecDeque<Bytes>,
-    body: Incoming,
-    silence: Pin<Box<Sleep>>,
-    waiting: bool,
-    on_end: Option<OnEnd>,
-}
-
-impl Long {
-    fn new(upstream: Rc<Upstream>, link: Link, head: VecDeque<Bytes>, body: Incoming) -> Self {
-        let silence = Box::pin(sleep_until(Instant::now()));
-        Long { upstream, link: Some(link), head, body, silence, waiting: false, on_end: None }
-    }
-
-    /// Sets what is told of the end; a drop before it counts as cancelled.
-    pub fn on_end(&mut self, tell: OnEnd) {
-        self.on_end = Some(tell);
-    }
-
-    fn end(&mut self, outcome: Outcome) {
-        let link = self.link.take();
-        if let Some(link) = link.filter(|_| outcome == Outcome::Ok) {
-            self.upstream.rest(link);
-        }
-        if let Some(tell) = self.on_end.take() {
-            tell(outcome);
-        }
-    }
-}
-
-impl Drop for Long {
-    fn drop(&mut self) {
-        let outcome = if self.body.is_end_stream() && self.head.is_empty() {
-            Outcome::Ok
-        } else {
-            Outcome::Cancelled
-        };
-        self.end(outcome);
-    }
-}
-
-impl Body for Long {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        let this = self.get_mut();
-        if let Some(data) = this.head.pop_front() {
-            return Poll::Ready(Some(Ok(Frame::data(data))));
-        }
-        loop {
-            let Some(link) = &mut this.link else { return Poll::Ready(None) };
-            link.drive(cx);
-            let Poll::Ready(frame) = Pin::new(&mut this.body).poll_frame(cx) else {
-                // The server's silence counts from when the client wants more.
-                if !std::mem::replace(&mut this.waiting, true) {
-                    this.silence.as_mut().reset(Instant::now() + STREAM_SILENCE);
-                }
-                ready!(this.silence.as_mut().poll(cx));
-                // Danger: without this a server cut off would hold the client for ever.
-                this.end(Outcome::Reset);
-                return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
-            };
-            this.waiting = false;
-            match frame {
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Poll::Ready(Some(Ok(Frame::data(data))));
-                    }
-                }
-                Some(Err(error)) => {
-                    this.end(Outcome::Reset);
-                    return Poll::Ready(Some(Err(io::Error::other(error))));
-                }
-                None => {
-                    this.end(Outcome::Ok);
-                    return Poll::Ready(None);
-                }
-            }
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.head.is_empty() && self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        let head: u64 = self.head.iter().map(|b| b.len() as u64).sum();
-        match self.body.size_hint().exact() {
-            Some(rest) => SizeHint::with_exact(head + rest),
-            None => SizeHint::default(),
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/tests/clients.rs
@@ -0,0 +1,140 @@
+//! Clients that misbehave, and what the rest see of them.
+
+mod common;
+
+use common::net::*;
+use std::io::Write;
+
+/// A server, discovery that lists it, and the sidecar in front.
+fn stand(
+    respond: impl Fn(&Message, usize) -> Option<Vec<u8>> + Send + Sync + 'static,
+) -> (Server, Discovery, Sidecar) {
+    let server = Server::start(respond);
+    let discovery = Discovery::start(1, vec![server.entry("a")]);
+    let sidecar = Sidecar::start(config(discovery.at, vec![server.entry("a")]));
+    (server, discovery, sidecar)
+}
+
+fn post(id: &str, framing: &str, body: &str) -> Vec<u8> {
+    format!(
+        "POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: {id}\r\nX-Lane: unsafe\r\nX-Org: acme\r\n\
+         {framing}\r\n\r\n{body}"
+    )
+    .into_bytes()
+}
+
+#[test]
+fn a_request_framed_twice_goes_no_further() {
+    let (server, _discovery, sidecar) = stand(|_, _| Some(answer("served")));
+    let hidden = String::from_utf8(request("safe", "hidden")).unwrap();
+    let body = format!("0\r\n\r\n{hidden}");
+    let length = format!("Content-Length: {}", body.len());
+    for (id, framing) in [
+        ("before", format!("{length}\r\nTransfer-Encoding: chunked")),
+        ("behind", format!("Transfer-Encoding: chunked\r\n{length}")),
+    ] {
+        let mut stream = connect(sidecar.at).unwrap();
+        stream.write_all(&post(id, &framing, &body)).unwrap();
+        let text = String::from_utf8(read_to_close(&mut stream)).unwrap();
+        assert!(text.starts_with("HTTP/1.1 400 "), "{text}");
+        assert_eq!(text.matches("HTTP/1.1").count(), 1, "{text}");
+    }
+    // One framing alone is served.
+    let whole = post("chunks", "Transfer-Encoding: chunked", "3\r\nabc\r\n0\r\n\r\n");
+    assert_eq!(sidecar.ask(&whole).unwrap().status(), 200);
+    let seen = server.seen();
+    assert_eq!(seen.len(), 1, "{seen:?}");
+    assert_eq!(seen[0].body, b"abc");
+}
+
+#[test]
+fn an_id_still_open_is_not_sent_twice() {
+    // The first request waits at the server for good.
+    let (server, _discovery, sidecar) = stand(|_, number| (number > 1).then(|| answer("served")));
+    let mut first = connect(sidecar.at).unwrap();
+    first.write_all(&request("safe", "same")).unwrap();
+    wait_until("the first is at the server", || server.seen().len() == 1);
+    assert_eq!(sidecar.ask(&request("safe", "same")).unwrap().status(), 409);
+    assert_eq!(sidecar.ask(&request("safe", "other")).unwrap().status(), 200);
+    assert_eq!(server.seen().len(), 2);
+}
+
+#[test]
+fn long_bodies_are_turned_away_and_not_held() {
+    let (server, _discovery, sidecar) = stand(|_, _| Some(answer("served")));
+    let before = sidecar.peak_memory();
+    let chunk = vec![b'x'; 1 << 20];
+    for (id, framing) in [("a", "Content-Length: 60000000"), ("b", "Transfer-Encoding: chunked")] {
+        let mut streams: Vec<_> = (0..4).map(|_| connect(sidecar.at).unwrap()).collect();
+        for (number, stream) in streams.iter_mut().enumerate() {
+            let head = post(&format!("{id}{number}"), framing, "3938700\r\n");
+            let mut sent = stream.write_all(&head);
+            for _ in 0..16 {
+                // The sidecar may close at once.
+                sent = sent.and_then(|()| stream.write_all(&chunk));
+            }
+            let text = read_to_close(stream);
+            assert!(text.is_empty() || text.starts_with(b"HTTP/1.1 413 "));
+        }
+    }
+    assert_eq!(server.seen().len(), 0);
+    let grown = sidecar.peak_memory() - before;
+    assert!(grown < 8 << 20, "{grown} bytes for bodies that are turned away");
+    assert_eq!(sidecar.ask(&request("safe", "after")).unwrap().status(), 200);
+}
+
+#[test]
+fn half_a_request_and_silence_are_closed() {
+    let (_server, _discovery, sidecar) = stand(|_, _| Some(answer("served")));
+    for begun in [
+        Vec::new(),
+        b"GET /api HTTP/1.1\r\nX-Pad: ".to_vec(),
+        post("half", "Content-Length: 300", "not all of it"),
+    ] {
+        let mut stream = connect(sidecar.at).unwrap();
+        stream.write_all(&begun).unwrap();
+        // The read limit is far over the 3 s that are owed; it shows a hang.
+        let text = read_to_close(&mut stream);
+        assert!(text.is_empty() || text.starts_with(b"HTTP/1.1 4"));
+    }
+    // A head that comes drop by drop gets no more time than one that stops.
+    let mut stream = connect(sidecar.at).unwrap();
+    let closed = (0..600).any(|_| {
+        std::thread::sleep(std::time::Duration::from_millis(100));
+        stream.write_all(b"G").is_err()
+    });
+    assert!(closed);
+}
+
+#[test]
+fn a_crowd_that_says_nothing_does_not_shut_out_the_rest() {
+    let (_server, _discovery, sidecar) = stand(|_, _| Some(answer("served")));
+    let crowd: Vec<_> = (0..400).filter_map(|_| connect(sidecar.at)).collect();
+    for number in 0..20 {
+        let answer = sidecar.ask(&request("safe", &format!("r{number}"))).unwrap();
+        assert_eq!(answer.status(), 200);
+        assert!(sidecar.descriptors() <= 128);
+    }
+    drop(crowd);
+}
+
+#[test]
+fn unfit_requests_are_named_and_closed() {
+    let (server, _discovery, sidecar) = stand(|_, _| Some(answer("served")));
+    let good = String::from_utf8(request("safe", "id")).unwrap();
+    for (from, to) in [
+        ("X-Txn: id\r\n", ""),
+        ("X-Lane: safe", "X-Lane: none"),
+        ("X-Org: acme", "X-Org: none"),
+        ("X-Remaining-Ms: 8000", "X-Remaining-Ms: soon"),
+        ("X-Remaining-Ms: 8000", "X-Remaining-Ms: -5"),
+        ("X-Remaining-Ms: 8000", "X-Remaining-Ms: 99999999999999999999999"),
+        ("Host: a", "Content-Length: -1"),
+    ] {
+        let mut stream = connect(sidecar.at).unwrap();
+        stream.write_all(good.replace(from, to).as_bytes()).unwrap();
+        let text = String::from_utf8(read_to_close(&mut stream)).unwrap();
+        assert!(text.starts_with("HTTP/1.1 400 "), "{to}: {text}");
+    }
+    assert_eq!(server.seen().len(), 0);
+}
--- /dev/null
+++ b/tests/servers.rs
@@ -0,0 +1,133 @@
+//! Servers that misbehave: what is tried again, and what is never passed on.
+
+mod common;
+
+use common::net::*;
+use serde_json::json;
+
+fn spoilt() -> Vec<(&'static str, Vec<u8>)> {
+    let long = "x".repeat(70_000);
+    vec![
+        ("noise", b"\x01\x02noise\r\n\r\n".to_vec()),
+        ("status", b"HTTP/1.1 2x0 OK\r\nContent-Length: 3\r\n\r\nbad".to_vec()),
+        (
+            "two lengths",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nbad".to_vec(),
+        ),
+        ("negative", b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nbad".to_vec()),
+        (
+            "chunks",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nbad\r\nzz\r\n".to_vec(),
+        ),
+        (
+            "both",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+                .to_vec(),
+        ),
+        ("no framing", b"HTTP/1.1 200 OK\r\n\r\nbad".to_vec()),
+        ("endless head", format!("HTTP/1.1 200 OK\r\nX-Pad: {long}").into_bytes()),
+        ("half a head", b"HTTP/1.1 200 OK\r\nContent-Len".to_vec()),
+        ("half a body", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbad".to_vec()),
+        (
+            "3 GB",
+            format!("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n{long}").into_bytes(),
+        ),
+    ]
+}
+
+#[test]
+fn a_spoilt_answer_is_a_failed_attempt_and_its_connection_is_not_used_again() {
+    for (what, bytes) in spoilt() {
+        let server = Server::start(move |_, number| {
+            Some(if number == 1 { bytes.clone() } else { answer("good") })
+        });
+        let discovery = Discovery::start(1, vec![server.entry("a")]);
+        let sidecar = Sidecar::start(config(discovery.at, vec![server.entry("a")]));
+        let got = sidecar.ask(&request("safe", "s")).unwrap();
+        assert_eq!((got.status(), &got.body[..]), (200, &b"good"[..]), "{what}");
+        assert_eq!(server.seen().len(), 2, "{what}");
+        assert_eq!(*server.connections.lock().unwrap(), 2, "{what}");
+    }
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_fails_and_is_not_sent_again() {
+    for (what, bytes) in spoilt() {
+        let server = Server::start(move |_, _| Some(bytes.clone()));
+        let discovery = Discovery::start(1, vec![server.entry("a")]);
+        let sidecar = Sidecar::start(config(discovery.at, vec![server.entry("a")]));
+        assert_eq!(sidecar.ask(&request("unsafe", "u")).unwrap().status(), 502, "{what}");
+        assert_eq!(server.seen().len(), 1, "{what}");
+    }
+}
+
+#[test]
+fn what_comes_behind_an_answer_is_no_other_answer() {
+    let twice = [answer("one"), answer("surplus")].concat();
+    let server = Server::start(move |_, number| {
+        Some(if number == 1 { twice.clone() } else { answer("two") })
+    });
+    let discovery = Discovery::start(1, vec![server.entry("a")]);
+    let sidecar = Sidecar::start(config(discovery.at, vec![server.entry("a")]));
+    assert_eq!(sidecar.ask(&request("safe", "1")).unwrap().body, b"one");
+    assert_eq!(sidecar.ask(&request("safe", "2")).unwrap().body, b"two");
+}
+
+#[test]
+fn answers_ahead_of_the_answer_are_passed_over() {
+    let ahead = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n";
+    let server = Server::start(move |_, _| Some([&ahead[..], &answer("good")].concat()));
+    let discovery = Discovery::start(1, vec![server.entry("a")]);
+    let sidecar = Sidecar::start(config(discovery.at, vec![server.entry("a")]));
+    assert_eq!(sidecar.ask(&request("safe", "s")).unwrap().body, b"good");
+    assert_eq!(server.seen().len(), 1);
+}
+
+#[test]
+fn a_request_that_a_server_calls_unfit_goes_to_no_other() {
+    let unfit = b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n";
+    let server = Server::start(move |_, _| Some(unfit.to_vec()));
+    let discovery = Discovery::start(1, vec![server.entry("a")]);
+    let sidecar = Sidecar::start(config(discovery.at, vec![server.entry("a")]));
+    assert_ne!(sidecar.ask(&request("safe", "s")).unwrap().status(), 200);
+    assert_eq!(server.seen().len(), 1);
+}
+
+#[test]
+fn ever_new_servers_leave_nothing_behind() {
+    let server = Server::start(|_, _| Some(answer("good")));
+    let discovery = Discovery::start(1, vec![server.entry("s0")]);
+    let sidecar = Sidecar::start(config(discovery.at, vec![server.entry("s0")]));
+    let mut asked = 0;
+    let mut turn = |number: usize| {
+        discovery.set(vec![server.entry(&format!("s{number}"))]);
+        let calls = *discovery.calls.lock().unwrap();
+        wait_until("the list is told", || *discovery.calls.lock().unwrap() > calls);
+        asked += 1;
+        let got = sidecar.ask(&request("safe", &format!("r{asked}"))).unwrap();
+        assert_eq!(got.status(), 200);
+    };
+    (1..20).for_each(&mut turn);
+    let before = sidecar.descriptors();
+    (20..120).for_each(&mut turn);
+    // Connections to those gone are closed, at the latest by the next sweep.
+    wait_until("descriptors are given back", || sidecar.descriptors() <= before + 4);
+}
+
+#[test]
+fn an_address_taken_over_is_a_new_server() {
+    let server = Server::start(|_, _| Some(answer("good")));
+    let discovery = Discovery::start(1, vec![server.entry("old")]);
+    let sidecar = Sidecar::start(config(discovery.at, vec![server.entry("old")]));
+    assert_eq!(sidecar.ask(&request("safe", "1")).unwrap().status(), 200);
+    assert_eq!(*server.connections.lock().unwrap(), 1);
+    discovery
+        .set(vec![json!({"uid": "new", "endpoint": server.at.to_string(), "state": "SERVING"})]);
+    // A request on a connection to the old one could be lost with its machine.
+    let mut number = 1;
+    wait_until("a connection of its own", || {
+        number += 1;
+        assert_eq!(sidecar.ask(&request("safe", &number.to_string())).unwrap().status(), 200);
+        *server.connections.lock().unwrap() > 1
+    });
+}
