Take a server from one class only where only that class hangs

One overdue attempt took its server from all classes, so three idle servers (reported in flight: 0 to 1) got nothing, the others jammed, and 4 to 10% was refused. Ruled out: connects (all came up), servers out of reach (they answered probes throughout), lists.

An attempt overdue at a server that has answered what was sent well after it is no sign of a queue: the server is out for that class alone for 2 s and the attempt does not count as congestion.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -10,8 +10,6 @@
 use crate::rng::{mix, Rng};
 use std::collections::HashMap;
 
-// ---------------------------------------------------------------- tunables
-
 const MS: Nanos = 1_000_000;
 const SECOND: Nanos = 1_000 * MS;
 
@@ -135,8 +133,6 @@
 /// First wait after a failed discovery call; doubles up to `ask_within`.
 const WATCH_RETRY: Nanos = SECOND;
 
-// -------------------------------------------------------------------- line
-
 /// The paper's line over servers of unequal speed: shares, pairs, ties.
 #[derive(Debug, Clone, Default)]
 pub struct Line {
@@ -248,8 +244,6 @@
     }
 }
 
-// ------------------------------------------------------------------- state
-
 #[derive(Debug, Default)]
 struct Server {
     listed: ListedServer,
@@ -259,6 +253,9 @@
     started: Option<Nanos>,
     in_flight: u32,
     overdue: u32,
+    /// Until when it is out for each class, and when what it last answered was sent.
+    stuck: Vec<Nanos>,
+    answered: Nanos,
     /// Decayed sum and count of log latency ratios.
     slow_sum: Fading,
     slow_count: Fading,
@@ -326,9 +323,6 @@
     refuse: bool,
 }
 
-/// Outcome, whether the request is finished, and the time an attempt took.
-type End = (Outcome, bool, Nanos);
-/// Where actions are appended.
 type Out<'a> = &'a mut Vec<Action>;
 
 #[derive(Debug, Clone)]
@@ -465,8 +459,6 @@
         }
     }
 
-    // --------------------------------------------------------------- speed
-
     /// Fraction of its capacity that a server surely has: the slowest warming allowed.
     fn warmth(&self, server: &Server, now: Nanos) -> f64 {
         match server.started {
@@ -614,16 +606,13 @@
 
     /// Wait per reported queue over speed.
     fn slope(&self) -> f64 {
-        let mean =
-            |line: &Line| line.sums.last().map_or(1.0, |sum| sum / line.members.len() as f64);
-        let speed = self.lines.first().map_or(1.0, mean);
+        let mean = |line: &Line| Some(line.sums.last()? / line.members.len() as f64);
+        let speed = self.lines.first().and_then(mean).unwrap_or(1.0);
         let n = self.typical.len();
         let typical: f64 = (0..n).map(|c| self.typical_of(c)).sum::<f64>() / n as f64;
         typical * speed / SIDE_BY_SIDE
     }
 
-    // ----------------------------------------------------------- readiness
-
     /// The one gate for sends: known, not leaving, cold budget left.
     fn may_send(&mut self, now: Nanos, s: usize) -> bool {
         !self.servers[s].leaving() && self.cold_credit(now, s) >= 1.0
@@ -709,7 +698,13 @@
         let afford = SUBSET_COST / (self.set.prices.connection * held / 100.0);
         let least = (afford as usize).clamp(SUBSET_PRICED, SUBSET_MIN);
         chosen.truncate(((uses / SUBSET_USES) as usize).max(least));
-        let of = |c| Line::new(chosen.iter().map(|s| (*s, self.speed_for(c, *s, now))));
+        let of = |c| {
+            let stuck = |s: &&usize| self.servers[**s].stuck.get(c).is_some_and(|at| *at > now);
+            // With most of them stuck it is the requests that are heavy.
+            let all = 2 * chosen.iter().filter(stuck).count() > chosen.len();
+            let fit = chosen.iter().filter(|s| all || !stuck(s));
+            Line::new(fit.map(|s| (*s, self.speed_for(c, *s, now))))
+        };
         self.lines = (0..self.set.classes.len()).map(of).collect();
         self.line_at = now;
         self.line_stale = false;
@@ -724,11 +719,10 @@
             let mut open = |s: usize| {
                 self.may_send(now, s) && self.expected(now, s, request) <= aim * FIT_SHARE
             };
-            let open = match drawn {
-                Some(Drawn::One(s)) => open(s),
-                Some(Drawn::Pair(p)) => open(p.servers[0]) && open(p.servers[1]),
-                None => false,
-            };
+            let open = drawn.is_some_and(|drawn| match drawn {
+                Drawn::One(s) => open(s),
+                Drawn::Pair(p) => open(p.servers[0]) && open(p.servers[1]),
+            });
             if open {
                 return drawn;
             }
@@ -777,10 +771,8 @@
     /// Reported queue over speed; 0 without a fresh report.
     fn reported_queue(&self, now: Nanos, s: usize) -> f64 {
         let server = &self.servers[s];
-        if !self.has_report(now, s) {
-            return 0.0;
-        }
-        server.report_queue / self.speed(server, now)
+        let queue = if self.has_report(now, s) { server.report_queue } else { 0.0 };
+        queue / self.speed(server, now)
     }
 
     fn has_report(&self, now: Nanos, s: usize) -> bool {
@@ -806,10 +798,10 @@
 
     fn on_report(&mut self, now: Nanos, id: ServerId, report: &[f64]) {
         let Some(&s) = self.index.get(&id) else { return };
-        let value = |slot: Option<usize>| slot.and_then(|at| report.get(at)).copied();
         let field = |f| self.set.report_fields.iter().position(|g| *g == f);
-        let held = value(field(ReportField::InFlight));
-        let waiting = value(field(ReportField::Queue));
+        let value = |f| report.get(field(f)?).copied();
+        let held = value(ReportField::InFlight);
+        let waiting = value(ReportField::Queue);
         let Some(queue) = held.or(waiting).map(|q| q + waiting.unwrap_or(0.0)) else { return };
         let size = self.servers[s].listed.size;
         let all: f64 = self.servers.iter().filter(|o| !o.leaving()).map(|o| o.listed.size).sum();
@@ -825,7 +817,7 @@
         server.report = report.to_vec();
         server.report_queue = queue;
         server.report_at = now;
-        if let Some(errors) = value(field(ReportField::ErrorsPerS)) {
+        if let Some(errors) = value(ReportField::ErrorsPerS) {
             if errors > 1.0 && errors > ERROR_SHARE * usual {
                 self.record_failure(now, s, EJECT_AFTER);
             }
@@ -858,9 +850,7 @@
             self.waiting.push(id.clone());
             return;
         }
-        if let Some(request) = self.requests.get_mut(id) {
-            request.pair = None;
-        }
+        self.requests.entry(id.clone()).and_modify(|request| request.pair = None);
         let legal = self.legal(now, &self.requests[id]);
         let queues = self.queues(now, &pair);
         let first = pair.join(|| self.rng.draw(), queues);
@@ -880,8 +870,6 @@
         }
     }
 
-    // ----------------------------------------------------------- admission
-
     /// Moves the share of work refused by what an ended attempt shows.
     /// Danger: overdue work and clients' repeats keep servers jammed (metastable
     /// overload); refusing early is what lets the queues drain.
@@ -1021,8 +1009,6 @@
         }
     }
 
-    // ------------------------------------------------------------ attempts
-
     /// What is legal for a request now. Every send, refusal and failure asks here.
     fn legal(&self, now: Nanos, request: &Request) -> Legal {
         let class = &self.set.classes[request.class];
@@ -1079,9 +1065,7 @@
             None => return false,
             Some(Drawn::One(s)) => s,
             Some(Drawn::Pair(pair)) if self.asks_first() => {
-                if let Some(request) = self.requests.get_mut(id) {
-                    request.pair = Some(pair);
-                }
+                self.requests.entry(id.clone()).and_modify(|r| r.pair = Some(pair));
                 for s in pair.servers {
                     self.ask(now, s, out);
                 }
@@ -1145,23 +1129,29 @@
         }
     }
 
-    fn on_ended(&mut self, now: Nanos, id: RequestId, attempt: usize, end: End, out: Out<'_>) {
+    fn on_ended(
+        &mut self,
+        now: Nanos,
+        id: RequestId,
+        attempt: usize,
+        end: (Outcome, bool, Nanos),
+        out: Out<'_>,
+    ) {
         let (outcome, finished, took) = end;
         let Some(request) = self.requests.get_mut(&id) else { return };
         let (class, cost) = (request.class, request.cost);
         let Some(record) = request.attempts.get_mut(attempt).filter(|a| a.out()) else { return };
         record.outcome = Some(outcome);
-        let overdue = record.overdue;
+        let (overdue, sent) = (record.overdue, record.sent);
         let was_finished = request.finished;
         if let Some(&s) = self.index.get(&record.server) {
             let server = &mut self.servers[s];
             server.in_flight = server.in_flight.saturating_sub(1);
-            if overdue {
-                server.overdue = server.overdue.saturating_sub(1);
-                self.line_stale = true;
-            }
+            server.overdue = server.overdue.saturating_sub(u32::from(overdue));
+            self.line_stale |= overdue;
             match outcome {
                 Outcome::Ok => {
+                    server.answered = server.answered.max(sent);
                     self.learn(now, s, (class, cost), took, true);
                     self.record_success(s);
                     self.served.add(now, RATE_HALF_LIFE, 1.0);
@@ -1202,16 +1192,22 @@
     fn on_overdue(&mut self, now: Nanos, id: RequestId, attempt: usize) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(record) = request.attempts.get_mut(attempt).filter(|a| a.out()) else { return };
-        record.overdue = true;
-        if let Some(&s) = self.index.get(&record.server) {
-            self.servers[s].overdue += 1;
-            self.line_stale = true;
+        self.line_stale = true;
+        let Some(&s) = self.index.get(&record.server) else { return };
+        let (server, class) = (&mut self.servers[s], request.class);
+        // Danger: a fault that holds up one class only would take the server from
+        // all. What was sent well after being answered, it is no queue; a lone heavy
+        // request looks the same, and costs its server the class for a while.
+        if server.answered > record.sent + self.set.classes[class].aim / 4 {
+            server.stuck.resize(self.set.classes.len(), 0);
+            server.stuck[class] = now + EJECT_BASE;
+            return;
         }
+        record.overdue = true;
+        server.overdue += 1;
         self.note_congestion(now, 1.0);
     }
 
-    // ----------------------------------------------------------- discovery
-
     /// Danger: instances that start or move together must not all call at once.
     fn call_discovery(&mut self, spread: Nanos, out: Out<'_>) {
         if self.set.must_ask {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -684,3 +684,41 @@
     }
     assert!(asked > 300, "{asked} probes for 200 requests");
 }
+
+/// Seen on sockets: three servers answered every class but one, whose requests
+/// hung there; taken out for all, they left the rest overloaded.
+#[test]
+fn a_server_where_one_class_hangs_keeps_the_others() {
+    let mut rig = Rig::with(settings(), 1..=3);
+    let out = rig.feed(S, request("hangs", 0, 2 * S));
+    let server = sends(&out)[0];
+    let timers: Vec<(Nanos, u64)> = out
+        .iter()
+        .filter_map(|a| match a {
+            Action::SetTimer { after, token } => Some((*after, *token)),
+            _ => None,
+        })
+        .collect();
+    let mut number = 0;
+    // Sends one request after the other and answers each; how many went to `server`.
+    let mut there = |rig: &mut Rig, from: Nanos, class: u32| {
+        let mut count = 0;
+        for at in (0..60).map(|i| from + i * MS) {
+            number += 1;
+            let id = format!("r{number}");
+            let to = sends(&rig.feed(at, request(&id, class, 2 * S)))[0];
+            rig.feed(at, ended(&id, 0, to, Outcome::Ok, true));
+            count += usize::from(to == server);
+        }
+        count
+    };
+    // Those sent well after the one that hangs are answered.
+    assert!(there(&mut rig, S + 150 * MS, 4) > 0);
+    for (after, token) in timers {
+        rig.feed(S + after, Event::Timer { token });
+    }
+    assert_eq!(there(&mut rig, S + 500 * MS, 0), 0);
+    assert!(there(&mut rig, S + 900 * MS, 4) > 0);
+    // After a while the class is tried there again.
+    assert!(there(&mut rig, S + 4 * S, 0) > 0);
+}
