Give the test of a hanging class enough requests to see dedicated ones

The test of the last commit failed: with one request in flight at the server, the comparison sends the others elsewhere, and of 60 none was dedicated to it.

--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -703,7 +703,8 @@
     // Sends one request after the other and answers each; how many went to `server`.
     let mut there = |rig: &mut Rig, from: Nanos, class: u32| {
         let mut count = 0;
-        for at in (0..60).map(|i| from + i * MS) {
+        // One in flight there already, only dedicated ones of many go to it.
+        for at in (0..600).map(|i| from + i * MS / 10) {
             number += 1;
             let id = format!("r{number}");
             let to = sends(&rig.feed(at, request(&id, class, 2 * S)))[0];
