Tests: addresses are chosen, not tried

Cause of a failure seen once: an address was found free by binding it and then bound again; a child that another test forked in between held a copy of the first socket, and the second bind failed. Addresses of their own make the trial needless.

--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -14,14 +14,16 @@
 /// No condition takes so long, even on a busy machine.
 pub const LONG: Duration = Duration::from_secs(60);
 
-/// A port that nothing uses, at an address that no other test has.
+/// An address that no other test has. Its port lies under those that the kernel
+/// gives out. Trying it first would not help: a child that another test starts
+/// just then holds a copy of the socket until it runs its program.
 pub fn free_address() -> SocketAddr {
+    const PORT: u16 = 19_007;
     static LAST: AtomicU8 = AtomicU8::new(0);
     let number = LAST.fetch_add(1, Ordering::Relaxed) + 1;
     let process = std::process::id();
     let ip = Ipv4Addr::new(127, 10 + (process >> 8) as u8 % 200, process as u8, number);
-    let probe = TcpListener::bind((ip, 0)).unwrap();
-    probe.local_addr().unwrap()
+    (ip, PORT).into()
 }
 
 /// Waits until something holds; fails the test if it never does.
