Split the decision module by concern; drop timers of ended requests

Need: one impl of 845 lines hid where a concern lives, and timers of ended requests stayed in memory until they fired, by rate times aim. Change: decide.rs becomes the line, speed, health, cold starts, admission, attempts and discovery, all under policy; timers live in a table of their own, and a request that closes takes its timers back (a new action, DropTimer, which the simulator's wire has no word for).

--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -275,6 +275,11 @@
 }
 
 impl Outcome {
+    /// Whether it shows a server that does not work.
+    pub fn failed(self) -> bool {
+        matches!(self, Outcome::Error | Outcome::Reset | Outcome::ConnectFailed)
+    }
+
     /// Whether the attempt certainly never ran.
     pub fn never_ran(self) -> bool {
         matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Unused)
@@ -404,6 +409,11 @@
         /// Comes back with the timer.
         token: u64,
     },
+    /// Forget a timer that has not fired. One that fires all the same does nothing.
+    DropTimer {
+        /// The timer's token.
+        token: u64,
+    },
     /// Check a server.
     Probe {
         /// The server.
--- /dev/null
+++ b/crates/balancer/src/decide/mod.rs
@@ -0,0 +1,235 @@
+//! Every decision of the balancer, and every number it decides by.
+//!
+//! The ordinary path is He and Down's line for servers of unequal speed
+//! (section 4 of their paper). Exceptions act only through who is ready, what
+//! a server's speed is, whether a request is admitted and when it is tried again.
+
+use crate::{api::*, fading::Fading, peer::Evidence, rng::*, wakes::Wakes};
+use std::collections::HashMap;
+
+mod admission;
+mod attempts;
+mod cold;
+mod discovery;
+mod health;
+mod line;
+mod speed;
+
+pub use line::{Drawn, Line, Pair};
+
+const MS: Nanos = 1_000_000;
+const SECOND: Nanos = 1_000 * MS;
+/// Memory of the arrival and answer rates: mean age in seconds, and its half-life.
+const RATE_SPAN: f64 = 10.0;
+const RATE_HALF_LIFE: Nanos = 6_931 * MS;
+
+#[derive(Debug, Default)]
+struct Server {
+    listed: ListedServer,
+    /// Place on this instance's line.
+    rank: u64,
+    /// When it started, if that is known to be recent.
+    started: Option<Nanos>,
+    in_flight: u32,
+    overdue: u32,
+    /// Until when it is out for each class, and when what it last answered was sent.
+    stuck: Vec<Nanos>,
+    answered: Nanos,
+    /// Decayed sum and count of log latency ratios.
+    slow_sum: Fading,
+    slow_count: Fading,
+    fails: Fading,
+    ejected_until: Nanos,
+    ejections: u32,
+    /// Sends a cold server may still get from this instance.
+    cold_credit: f64,
+    credit_at: Nanos,
+    /// The last load report, its queue with what was sent since, and times.
+    report: Vec<f64>,
+    report_queue: f64,
+    report_at: Nanos,
+    asked_at: Nanos,
+}
+
+impl Server {
+    /// Draining or gone, as far as this instance has heard.
+    fn leaving(&self) -> bool {
+        self.listed.condition != Condition::Live
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+struct Attempt {
+    server: ServerId,
+    sent: Nanos,
+    outcome: Option<Outcome>,
+    overdue: bool,
+}
+
+impl Attempt {
+    fn out(&self) -> bool {
+        self.outcome.is_none()
+    }
+    fn may_have_run(&self) -> bool {
+        !self.outcome.is_some_and(Outcome::never_ran)
+    }
+}
+
+#[derive(Debug, Default)]
+struct Request {
+    class: usize,
+    tenant: usize,
+    /// Log of the work expected, if the client says.
+    cost: Option<f64>,
+    repeat: bool,
+    arrived: Nanos,
+    deadline: Nanos,
+    attempts: Vec<Attempt>,
+    finished: bool,
+    streaming: bool,
+    /// Waiting for reports of these two.
+    pair: Option<Pair>,
+    /// Tokens of its timers.
+    wakes: Vec<u64>,
+}
+
+/// What may be done with a request now.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Legal {
+    /// Another attempt may go out.
+    send: bool,
+    /// It must go to the group of this server.
+    group_of: Option<ServerId>,
+    /// It may be refused; otherwise it can only fail.
+    refuse: bool,
+}
+
+type Out<'a> = &'a mut Vec<Action>;
+/// How an attempt ended, whether its request has too, and how long it took.
+type End = (Outcome, bool, Nanos);
+/// An attempt as it teaches speed: its class, the log of its work if known, and its time.
+type Sample = (usize, Option<f64>, Nanos);
+/// Whether a probe went well, and the load report that came with it.
+type Health = (bool, Option<Vec<f64>>);
+
+#[derive(Debug, Clone)]
+enum Wake {
+    Overdue(RequestId, usize),
+    Held(RequestId),
+    Reports(RequestId),
+    Discovery,
+}
+
+/// The balancer of one instance.
+#[derive(Debug, Default)]
+pub struct Balancer {
+    set: Settings,
+    rng: Rng,
+    index: HashMap<ServerId, usize>,
+    servers: Vec<Server>,
+    order: Vec<usize>,
+    /// One for each class: kinds of server may suit some classes and not others.
+    lines: Vec<Line>,
+    line_at: Nanos,
+    line_stale: bool,
+    requests: HashMap<RequestId, Request>,
+    wakes: Wakes<Wake>,
+    /// Typical log latency per class, once seen, and the same over the cost hint.
+    typical: Vec<Option<f64>>,
+    pace: Vec<Option<f64>>,
+    /// Answers those were learned from.
+    taught: Vec<f64>,
+    /// What a kind of server adds to each class's log latency.
+    kind_offset: Vec<Vec<f64>>,
+    arrivals: Fading,
+    born: Nanos,
+    told_at: Nanos,
+    retry_credit: f64,
+    refuse_level: f64,
+    usual_level: f64,
+    level_at: Nanos,
+    ended_at: Nanos,
+    refuse: Vec<f64>,
+    mix: Vec<f64>,
+    /// Traffic of each tenant, and how many instances' worth it is.
+    tenant_seen: Vec<Fading>,
+    tenant_weight: Fading,
+    served: Fading,
+    waiting: Vec<RequestId>,
+    /// Repeated reports that told nothing new, and those that did.
+    reports: [u32; 2],
+    watching: bool,
+    call_out: bool,
+    call_fails: u32,
+}
+
+impl Balancer {
+    /// A fresh instance: it knows its settings and nothing else.
+    pub fn new(settings: Settings, seed: u64, now: Nanos, out: &mut Vec<Action>) -> Self {
+        let mut this = Balancer {
+            rng: Rng::new(seed),
+            line_stale: true,
+            typical: vec![None; settings.classes.len()],
+            pace: vec![None; settings.classes.len()],
+            taught: vec![0.0; settings.classes.len()],
+            kind_offset: vec![vec![0.0; settings.kinds.max(1) as usize]; settings.classes.len()],
+            born: now,
+            told_at: now,
+            retry_credit: attempts::RETRY_SAVED,
+            level_at: now,
+            ended_at: now,
+            refuse: vec![0.0; settings.classes.len()],
+            mix: vec![1.0; settings.classes.len()],
+            tenant_seen: vec![Fading::default(); settings.tenants.len()],
+            set: settings,
+            ..Balancer::default()
+        };
+        this.tenant_weight.add(now, RATE_HALF_LIFE, 1.0 / RATE_SPAN);
+        this.call_discovery((this.set.ask_within as f64 * discovery::WATCH_SPREAD) as Nanos, out);
+        this
+    }
+
+    /// Takes one event and appends what is to be done.
+    pub fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Servers { kind, entries, .. } => self.on_servers(now, kind, &entries, out),
+            Event::DiscoveryMoved => {
+                (self.watching, self.call_out, self.call_fails) = (false, false, 0);
+                self.call_discovery(discovery::MOVE_SPREAD, out);
+            }
+            Event::Request { id, class, tenant, patience, repeat, cost_hint, .. } => {
+                let (class, tenant) = (class as usize, tenant as usize);
+                let cost = cost_hint.filter(|cost| *cost > 0).map(|cost| (cost as f64).ln());
+                let (arrived, deadline, rest) =
+                    (now, now.saturating_add(patience), Request::default());
+                let request = Request { class, tenant, cost, repeat, arrived, deadline, ..rest };
+                self.on_request(now, id, request, out)
+            }
+            Event::StreamStarted { id, .. } => {
+                self.requests.entry(id).and_modify(|request| request.streaming = true);
+            }
+            Event::AttemptEnded { id, attempt, outcome, finished, took, .. } => {
+                self.on_ended(now, id, attempt as usize, (outcome, finished, took), out)
+            }
+            Event::Abandoned { id } => self.close(&id, out),
+            Event::Timer { token } => self.on_timer(now, token, out),
+            Event::Probed { server, outcome, report, .. } => {
+                self.on_probed(now, server, (outcome == Outcome::Ok, report), out)
+            }
+            Event::PeerMessage { payload, .. } => self.on_peer(now, &payload),
+        }
+    }
+
+    fn on_timer(&mut self, now: Nanos, token: u64, out: Out<'_>) {
+        match self.wakes.take(token) {
+            Some(Wake::Overdue(id, attempt)) => self.on_overdue(now, id, attempt),
+            Some(Wake::Held(id)) => self.advance(now, &id, out),
+            Some(Wake::Reports(id)) => self.settle(now, &id, true, out),
+            Some(Wake::Discovery) if !self.watching && !self.call_out => {
+                self.call_out = true;
+                out.push(Action::Watch { on: true });
+            }
+            None | Some(Wake::Discovery) => {}
+        }
+    }
+}
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -12,4 +12,5 @@
 mod fading;
 pub mod peer;
 mod rng;
+mod wakes;
 pub mod wire;
--- a/crates/balancer/src/wire.rs
+++ b/crates/balancer/src/wire.rs
@@ -392,6 +392,8 @@
         Action::Refuse { id, retry_after } => writeln!(out, "shed {id} {retry_after}"),
         Action::Fail { id } => writeln!(out, "drop_request {id}"),
         Action::SetTimer { after, token } => writeln!(out, "set_timer {after} {token}"),
+        // The wire has no message for it.
+        Action::DropTimer { .. } => Ok(()),
         Action::Probe { server } => writeln!(out, "probe {server}"),
         Action::CloseIdle { server } => writeln!(out, "drop_conns {server}"),
         Action::TellPeer { peer, payload } => {
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -60,6 +60,8 @@
     }
 
     fn flush_actions(&mut self) {
+        // The simulator's wire cannot take a timer back; it fires and does nothing.
+        self.actions.retain(|action| !matches!(action, Action::DropTimer { .. }));
         if !self.actions.is_empty() && self.said != Some(self.target) {
             self.reply.push_str("from sidecar_");
             self.reply.push_str(&self.target.to_string());
--- a/crates/mintshelf/src/net/driver.rs
+++ b/crates/mintshelf/src/net/driver.rs
@@ -24,7 +24,7 @@
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
-use tokio_util::time::DelayQueue;
+use tokio_util::time::{delay_queue, DelayQueue};
 
 /// Tells a server how long this sidecar will wait.
 const REMAINING: HeaderName = HeaderName::from_static("x-remaining-ms");
@@ -88,6 +88,8 @@
     open: HashSet<HeaderValue>,
     events: VecDeque<Event>,
     timers: DelayQueue<u64>,
+    /// Where in the queue each timer is, by its token.
+    timer_keys: HashMap<u64, delay_queue::Key>,
     last_id: u64,
     watch: Option<AbortHandle>,
 }
@@ -125,6 +127,7 @@
                 open: HashSet::new(),
                 events: VecDeque::new(),
                 timers: DelayQueue::new(),
+                timer_keys: HashMap::new(),
                 last_id: 0,
                 watch: None,
             }),
@@ -155,6 +158,7 @@
         const SWEEP: Duration = Duration::from_secs(1);
         let timers = async {
             while let Some(token) = self.next_timer().await {
+                self.core.borrow_mut().timer_keys.remove(&token);
                 self.post(Event::Timer { token });
             }
         };
@@ -216,7 +220,13 @@
                 }
                 Action::Fail { id } => core.conclude(&id, Reply::Failed),
                 Action::SetTimer { after, token } => {
-                    core.timers.insert(token, Duration::from_nanos(after));
+                    let key = core.timers.insert(token, Duration::from_nanos(after));
+                    core.timer_keys.insert(token, key);
+                }
+                Action::DropTimer { token } => {
+                    if let Some(key) = core.timer_keys.remove(&token) {
+                        core.timers.try_remove(&key);
+                    }
                 }
                 Action::Probe { server } => self.probe(core, server),
                 Action::CloseIdle { server } => self.upstream.close_idle(server),
