Make a workspace of packages named mintshelf; break the circle round discovery

Need: the daemon needs packages by concern, and driver, discovery and peers knew one another in a circle. Change: balancer, benchlink, config, proxy, mintshelf and testkit, with arrows one way; settings are read beside the decision module; discovery and peers speak to a sink, and a table of endpoints stands between a source and the driver.

--- a/examples/choose.rs
+++ b/crates/balancer/examples/choose.rs
@@ -1,8 +1,8 @@
 //! Starts an instance, tells it of three servers and lets it choose one.
 
-use eiderusher::api::{Action, Condition, Event, ListKind, ListedServer};
-use eiderusher::decide::Balancer;
-use eiderusher::wire::parse_settings;
+use mintshelf_balancer::api::{Action, Condition, Event, ListKind, ListedServer};
+use mintshelf_balancer::decide::Balancer;
+use mintshelf_balancer::settings::parse_settings;
 use std::error::Error;
 
 const SETTINGS: &str = r#"{
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -12,5 +12,5 @@
 mod fading;
 pub mod peer;
 mod rng;
+pub mod settings;
 mod wakes;
-pub mod wire;
--- a/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -1,10 +1,8 @@
 //! Settings, servers and requests for the tests.
 #![allow(dead_code)]
 
-pub mod net;
-
-use eiderusher::api::*;
-use eiderusher::decide::Balancer;
+use mintshelf_balancer::api::*;
+use mintshelf_balancer::decide::Balancer;
 use std::sync::Arc;
 
 pub const MS: Nanos = 1_000_000;
--- a/tests/line.rs
+++ b/crates/balancer/tests/line.rs
@@ -1,6 +1,6 @@
 //! The line against the formulas of section 4.
 
-use eiderusher::decide::{Drawn, Line};
+use mintshelf_balancer::decide::{Drawn, Line};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
--- a/tests/peer.rs
+++ b/crates/balancer/tests/peer.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use eiderusher::api::*;
-use eiderusher::peer::Evidence;
+use mintshelf_balancer::api::*;
+use mintshelf_balancer::peer::Evidence;
 
 #[test]
 fn evidence_survives_its_bytes() {
--- a/tests/rules.rs
+++ b/crates/balancer/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use eiderusher::api::*;
+use mintshelf_balancer::api::*;
 use std::collections::HashMap;
 
 #[test]
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -1,9 +1,9 @@
 //! Hosts instances of the decision module on the line protocol: standard
 //! input to standard output, one reply for each batch.
 
-use eiderusher::api::{Action, Nanos};
-use eiderusher::decide::Balancer;
-use eiderusher::wire::{write_action, Message, Reader, WireError};
+use mintshelf_balancer::api::{Action, Nanos};
+use mintshelf_balancer::decide::Balancer;
+use mintshelf_benchlink::wire::{write_action, Message, Reader, WireError};
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader, Write};
 use std::process::ExitCode;
@@ -103,7 +103,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
-            eprintln!("eiderusher-wirehost: {what}");
+            eprintln!("mintshelf-benchlink: {what}");
             ExitCode::FAILURE
         }
     }
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,6 @@
+//! Configuration: text to a checked model, every error with its place. No sockets.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod platform;
--- a/crates/mintshelf/src/net/config.rs
+++ b/crates/config/src/platform.rs
@@ -1,7 +1,7 @@
 //! The configuration file that `RELAY_CONFIG` names.
 
-use eiderusher::api::Settings;
-use eiderusher::wire::parse_settings;
+use mintshelf_balancer::api::Settings;
+use mintshelf_balancer::settings::parse_settings;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
--- a/crates/mintshelf/src/main.rs
+++ b/crates/mintshelf/src/main.rs
@@ -3,13 +3,11 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod net;
-
-use net::config::Config;
-use net::driver::Driver;
-use net::inbound::{listen, Inbound};
-use net::limits::Limits;
-use net::peers::Peers;
+use mintshelf_config::platform::Config;
+use mintshelf_proxy::driver::Driver;
+use mintshelf_proxy::inbound::{listen, Inbound};
+use mintshelf_proxy::limits::Limits;
+use mintshelf_proxy::peers::Peers;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -47,16 +45,16 @@
     let stay = Duration::from_nanos(deadlines.max().unwrap_or(0)) + STAY;
     let Config { name, listen, settings, names, .. } = config;
     let inbound = Inbound::new(driver.clone(), settings, names, &limits, draining.clone());
-    eprintln!("eiderusher: {name} listens on {listen}");
+    eprintln!("mintshelf: {name} listens on {listen}");
     let reloads = async {
         while reload.recv().await.is_some() {
             match Config::read(&file) {
                 Ok(new) => {
-                    eprintln!("eiderusher: {name} reloads; discovery is {}", new.discovery);
+                    eprintln!("mintshelf: {name} reloads; discovery is {}", new.discovery);
                     driver.move_discovery(new.discovery);
                 }
                 // What was in force stays in force.
-                Err(what) => eprintln!("eiderusher: not reloaded: {what}"),
+                Err(what) => eprintln!("mintshelf: not reloaded: {what}"),
             }
         }
     };
@@ -85,7 +83,7 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
-            eprintln!("eiderusher: {what}");
+            eprintln!("mintshelf: {what}");
             ExitCode::FAILURE
         }
     }
--- a/tests/clients.rs
+++ b/crates/mintshelf/tests/clients.rs
@@ -1,17 +1,17 @@
 //! Clients that misbehave, and what the rest see of them.
 
-mod common;
-
-use common::net::*;
+use mintshelf_testkit::*;
 use std::io::Write;
 
+const PROGRAM: &str = env!("CARGO_BIN_EXE_mintshelf");
+
 /// A server, discovery that lists it, and the sidecar in front.
 fn stand(
     respond: impl Fn(&Message, usize) -> Option<Vec<u8>> + Send + Sync + 'static,
 ) -> (Server, Discovery, Sidecar) {
     let server = Server::start(respond);
     let discovery = Discovery::start(1, vec![server.entry("a")]);
-    let sidecar = Sidecar::start(config(discovery.at, vec![server.entry("a")]));
+    let sidecar = Sidecar::start(PROGRAM, config(discovery.at, vec![server.entry("a")]));
     (server, discovery, sidecar)
 }
 
--- a/tests/reload.rs
+++ b/crates/mintshelf/tests/reload.rs
@@ -1,10 +1,10 @@
 //! New configurations while the program runs.
 
-mod common;
-
-use common::net::*;
+use mintshelf_testkit::*;
 use serde_json::json;
 
+const PROGRAM: &str = env!("CARGO_BIN_EXE_mintshelf");
+
 #[test]
 fn discovery_moves_with_the_file() {
     let (old, new) =
@@ -12,7 +12,7 @@
     let first = Discovery::start(2, vec![old.entry("a")]);
     // The second counts its versions anew.
     let second = Discovery::start(1, vec![new.entry("b")]);
-    let mut sidecar = Sidecar::start(config(first.at, vec![old.entry("a")]));
+    let mut sidecar = Sidecar::start(PROGRAM, config(first.at, vec![old.entry("a")]));
     wait_until("the first watch", || *first.calls.lock().unwrap() > 0);
     let mut moved = sidecar.config.clone();
     moved["discovery"] = json!(second.at.to_string());
@@ -31,7 +31,7 @@
 fn a_malformed_file_is_not_taken_over() {
     let server = Server::start(|_, _| Some(answer("served")));
     let discovery = Discovery::start(1, vec![server.entry("a")]);
-    let mut sidecar = Sidecar::start(config(discovery.at, vec![server.entry("a")]));
+    let mut sidecar = Sidecar::start(PROGRAM, config(discovery.at, vec![server.entry("a")]));
     for text in ["", "{", r#"{"name":"n0"}"#] {
         sidecar.reload(text);
     }
@@ -45,12 +45,9 @@
 
 #[test]
 fn a_malformed_file_at_the_start_is_one_line_and_no_success() {
-    let file = std::env::temp_dir().join(format!("eiderusher-bad-{}.json", std::process::id()));
+    let file = std::env::temp_dir().join(format!("mintshelf-bad-{}.json", std::process::id()));
     std::fs::write(&file, r#"{"name":"n0","listen":"nowhere"}"#).unwrap();
-    let output = std::process::Command::new(env!("CARGO_BIN_EXE_eiderusher"))
-        .env("RELAY_CONFIG", &file)
-        .output()
-        .unwrap();
+    let output = std::process::Command::new(PROGRAM).env("RELAY_CONFIG", &file).output().unwrap();
     std::fs::remove_file(&file).unwrap();
     let said = String::from_utf8(output.stderr).unwrap();
     assert!(!output.status.success() && said.lines().count() == 1, "{said}");
--- a/tests/servers.rs
+++ b/crates/mintshelf/tests/servers.rs
@@ -1,10 +1,10 @@
 //! Servers that misbehave: what is tried again, and what is never passed on.
 
-mod common;
-
-use common::net::*;
+use mintshelf_testkit::*;
 use serde_json::json;
 
+const PROGRAM: &str = env!("CARGO_BIN_EXE_mintshelf");
+
 fn spoilt() -> Vec<(&'static str, Vec<u8>)> {
     let long = "x".repeat(70_000);
     vec![
@@ -42,7 +42,7 @@
             Some(if number == 1 { bytes.clone() } else { answer("good") })
         });
         let discovery = Discovery::start(1, vec![server.entry("a")]);
-        let sidecar = Sidecar::start(config(discovery.at, vec![server.entry("a")]));
+        let sidecar = Sidecar::start(PROGRAM, config(discovery.at, vec![server.entry("a")]));
         let got = sidecar.ask(&request("safe", "s")).unwrap();
         assert_eq!((got.status(), &got.body[..]), (200, &b"good"[..]), "{what}");
         assert_eq!(server.seen().len(), 2, "{what}");
@@ -55,7 +55,7 @@
     for (what, bytes) in spoilt() {
         let server = Server::start(move |_, _| Some(bytes.clone()));
         let discovery = Discovery::start(1, vec![server.entry("a")]);
-        let sidecar = Sidecar::start(config(discovery.at, vec![server.entry("a")]));
+        let sidecar = Sidecar::start(PROGRAM, config(discovery.at, vec![server.entry("a")]));
         assert_eq!(sidecar.ask(&request("unsafe", "u")).unwrap().status(), 502, "{what}");
         assert_eq!(server.seen().len(), 1, "{what}");
     }
@@ -68,7 +68,7 @@
         Some(if number == 1 { twice.clone() } else { answer("two") })
     });
     let discovery = Discovery::start(1, vec![server.entry("a")]);
-    let sidecar = Sidecar::start(config(discovery.at, vec![server.entry("a")]));
+    let sidecar = Sidecar::start(PROGRAM, config(discovery.at, vec![server.entry("a")]));
     assert_eq!(sidecar.ask(&request("safe", "1")).unwrap().body, b"one");
     assert_eq!(sidecar.ask(&request("safe", "2")).unwrap().body, b"two");
 }
@@ -78,7 +78,7 @@
     let ahead = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n";
     let server = Server::start(move |_, _| Some([&ahead[..], &answer("good")].concat()));
     let discovery = Discovery::start(1, vec![server.entry("a")]);
-    let sidecar = Sidecar::start(config(discovery.at, vec![server.entry("a")]));
+    let sidecar = Sidecar::start(PROGRAM, config(discovery.at, vec![server.entry("a")]));
     assert_eq!(sidecar.ask(&request("safe", "s")).unwrap().body, b"good");
     assert_eq!(server.seen().len(), 1);
 }
@@ -88,7 +88,7 @@
     let unfit = b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n";
     let server = Server::start(move |_, _| Some(unfit.to_vec()));
     let discovery = Discovery::start(1, vec![server.entry("a")]);
-    let sidecar = Sidecar::start(config(discovery.at, vec![server.entry("a")]));
+    let sidecar = Sidecar::start(PROGRAM, config(discovery.at, vec![server.entry("a")]));
     assert_ne!(sidecar.ask(&request("safe", "s")).unwrap().status(), 200);
     assert_eq!(server.seen().len(), 1);
 }
@@ -97,7 +97,7 @@
 fn ever_new_servers_leave_nothing_behind() {
     let server = Server::start(|_, _| Some(answer("good")));
     let discovery = Discovery::start(1, vec![server.entry("s0")]);
-    let sidecar = Sidecar::start(config(discovery.at, vec![server.entry("s0")]));
+    let sidecar = Sidecar::start(PROGRAM, config(discovery.at, vec![server.entry("s0")]));
     let mut asked = 0;
     let mut turn = |number: usize| {
         discovery.set(vec![server.entry(&format!("s{number}"))]);
@@ -118,7 +118,7 @@
 fn an_address_taken_over_is_a_new_server() {
     let server = Server::start(|_, _| Some(answer("good")));
     let discovery = Discovery::start(1, vec![server.entry("old")]);
-    let sidecar = Sidecar::start(config(discovery.at, vec![server.entry("old")]));
+    let sidecar = Sidecar::start(PROGRAM, config(discovery.at, vec![server.entry("old")]));
     assert_eq!(sidecar.ask(&request("safe", "1")).unwrap().status(), 200);
     assert_eq!(*server.connections.lock().unwrap(), 1);
     discovery
--- a/crates/mintshelf/src/net/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -1,19 +1,19 @@
 //! Discovery: calls, their answers, and what the servers in them are called.
 
-use crate::net::clock::nanos;
-use crate::net::config::Names;
-use crate::net::driver::Driver;
-use crate::net::socket::{Socket, Watcher};
+use crate::clock::nanos;
+use crate::endpoints::{number, Endpoints, ListSink};
+use crate::socket::{Socket, Watcher};
 use bytes::Bytes;
-use eiderusher::api::{Condition, ListKind, ListedServer, ServerId};
 use http_body_util::Empty;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{handshake, Connection, SendRequest};
 use hyper::{header, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use mintshelf_balancer::api::{Condition, ListKind, ListedServer};
+use mintshelf_config::platform::Names;
 use serde::de::{DeserializeSeed, Deserializer, IgnoredAny, MapAccess, SeqAccess, Visitor};
 use serde::Deserialize;
-use std::collections::HashMap;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
@@ -148,37 +148,24 @@
     (list, whole)
 }
 
-/// A stable number for a name, the same at every sidecar (FNV-1a, folded).
-fn number(name: &str) -> u32 {
-    let hash = name.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    });
-    (hash ^ (hash >> 32)) as u32
-}
-
 /// The place of a name in the settings; for an unknown one, a number past them all.
 fn place(names: &[String], name: &str) -> u32 {
     let known = names.iter().position(|n| n == name);
     known.map_or_else(|| number(name) | 1 << 31, |at| at as u32)
 }
 
-/// Servers by the module's numbers.
+/// Reads lists into the module's numbers and the servers' addresses.
 #[derive(Debug)]
 pub struct Fleet {
     names: Names,
-    addresses: HashMap<ServerId, SocketAddr>,
+    addresses: Endpoints,
     version: u64,
 }
 
 impl Fleet {
-    /// Knows no server.
-    pub fn new(names: Names) -> Self {
-        Fleet { names, addresses: HashMap::new(), version: 0 }
-    }
-
-    /// Where a server listens, if it is listed.
-    pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
-        self.addresses.get(&server).copied()
+    /// Knows no server; the addresses of those it will know go to `addresses`.
+    pub fn new(names: Names, addresses: Endpoints) -> Self {
+        Fleet { names, addresses, version: 0 }
     }
 
     fn listed(&self, entry: &Entry) -> ListedServer {
@@ -211,7 +198,7 @@
         }
         for entry in &targets {
             match entry.state {
-                State::Deleted => self.addresses.remove(&number(&entry.uid)),
+                State::Deleted => self.addresses.remove(number(&entry.uid)),
                 _ => self.addresses.insert(number(&entry.uid), entry.endpoint),
             };
         }
@@ -344,56 +331,88 @@
     }
 }
 
-/// Watches until a call fails.
-pub async fn watch(driver: Rc<Driver>, to: SocketAddr) {
-    let mut caller = Caller { to, line: None };
-    loop {
-        let asked = Instant::now();
-        let held = driver.fleet.borrow().version();
-        let mut answer = caller.news(held).await;
-        if read_list(&answer.bytes).0.rev.is_some_and(|rev| rev < held) {
-            // Danger: a service that counts anew would never have news for what
-            // is held; its whole list starts the count over.
-            answer = caller.call("", ANSWER_GRACE).await;
-        }
-        if !take(&driver, &answer) {
-            return driver.list_failed();
+/// The service that lists the servers, at an address that may change.
+#[derive(Debug)]
+pub struct Discovery {
+    fleet: RefCell<Fleet>,
+    at: Cell<SocketAddr>,
+}
+
+impl Discovery {
+    /// A service that has not been asked yet.
+    pub fn new(fleet: Fleet, at: SocketAddr) -> Self {
+        Discovery { fleet: RefCell::new(fleet), at: Cell::new(at) }
+    }
+
+    /// Turns to another address; whether it is another. Calls under way go on.
+    pub fn move_to(&self, at: SocketAddr) -> bool {
+        self.at.replace(at) != at
+    }
+
+    /// Passes on the list that the configuration brought.
+    pub fn cached(&self, text: Option<&str>, sink: &impl ListSink) {
+        let servers = text.and_then(|text| self.fleet.borrow_mut().take_known(text));
+        sink.listed(ListKind::Cached, self.version(), servers.unwrap_or_default());
+    }
+
+    fn version(&self) -> u64 {
+        self.fleet.borrow().version()
+    }
+
+    /// Watches until a call fails.
+    pub async fn watch(self: Rc<Self>, sink: impl ListSink) {
+        let mut caller = Caller { to: self.at.get(), line: None };
+        loop {
+            let asked = Instant::now();
+            let held = self.version();
+            let mut answer = caller.news(held).await;
+            if read_list(&answer.bytes).0.rev.is_some_and(|rev| rev < held) {
+                // Danger: a service that counts anew would never have news for what
+                // is held; its whole list starts the count over.
+                answer = caller.call("", ANSWER_GRACE).await;
+            }
+            if !self.take(&sink, &answer) {
+                return self.failed(&sink);
+            }
+            // A watch that is answered at once, over and over, must not spin.
+            sleep(WATCH_PACE.saturating_sub(asked.elapsed())).await;
         }
-        // A watch that is answered at once, over and over, must not spin.
-        sleep(WATCH_PACE.saturating_sub(asked.elapsed())).await;
     }
-}
 
-/// Asks for the whole list once.
-pub async fn fetch(driver: Rc<Driver>, to: SocketAddr) {
-    let answer = Caller { to, line: None }.call("", ANSWER_GRACE).await;
-    if !take(&driver, &answer) {
-        driver.list_failed();
+    /// Asks for the whole list once.
+    pub async fn fetch(self: Rc<Self>, sink: impl ListSink) {
+        let answer = Caller { to: self.at.get(), line: None }.call("", ANSWER_GRACE).await;
+        if !self.take(&sink, &answer) {
+            self.failed(&sink);
+        }
     }
-}
 
-/// Follows an agent that lists are pushed to. Its silence is no failed call.
-pub async fn follow(driver: Rc<Driver>) {
-    let mut caller = Caller { to: driver.discovery(), line: None };
-    loop {
-        if caller.to != driver.discovery() {
-            caller = Caller { to: driver.discovery(), line: None };
+    /// Follows an agent that lists are pushed to. Its silence is no failed call.
+    pub async fn follow(self: Rc<Self>, sink: impl ListSink) {
+        let mut caller = Caller { to: self.at.get(), line: None };
+        loop {
+            if caller.to != self.at.get() {
+                caller = Caller { to: self.at.get(), line: None };
+            }
+            let asked = Instant::now();
+            let answer = caller.news(self.version()).await;
+            self.take(&sink, &answer);
+            sleep(AGENT_PACE.saturating_sub(asked.elapsed())).await;
         }
-        let asked = Instant::now();
-        let held = driver.fleet.borrow().version();
-        let answer = caller.news(held).await;
-        take(&driver, &answer);
-        sleep(AGENT_PACE.saturating_sub(asked.elapsed())).await;
     }
-}
 
-/// Passes an answer on; false if it was not whole.
-fn take(driver: &Rc<Driver>, answer: &Received) -> bool {
-    let (kind, servers, whole) = driver.fleet.borrow_mut().take(answer);
-    if whole || !servers.is_empty() {
-        driver.listed(kind, servers);
+    fn failed(&self, sink: &impl ListSink) {
+        sink.listed(ListKind::Failed, self.version(), Vec::new());
+    }
+
+    /// Passes an answer on; false if it was not whole.
+    fn take(&self, sink: &impl ListSink, answer: &Received) -> bool {
+        let (kind, servers, whole) = self.fleet.borrow_mut().take(answer);
+        if whole || !servers.is_empty() {
+            sink.listed(kind, self.version(), servers);
+        }
+        whole
     }
-    whole
 }
 
 #[cfg(test)]
@@ -404,7 +423,8 @@
 
     fn fleet() -> Fleet {
         let zones = vec!["a".to_string()];
-        Fleet::new(Names { zones, kinds: vec!["m".to_string()], ..Names::default() })
+        let names = Names { zones, kinds: vec!["m".to_string()], ..Names::default() };
+        Fleet::new(names, Endpoints::default())
     }
 
     fn received(text: &str, whole: bool) -> Received {
@@ -420,7 +440,7 @@
         assert_eq!((kind, servers.len(), fleet.version()), (ListKind::Full, 1, 41));
         assert_eq!((servers[0].zone, servers[0].kind, servers[0].cell), (0, 0, 3));
         assert_eq!(servers[0].started_at, 7_000_000);
-        assert!(fleet.address(servers[0].id).is_some());
+        assert!(fleet.addresses.address(servers[0].id).is_some());
     }
 
     #[test]
@@ -469,6 +489,6 @@
         let text = format!(r#"{{"rev":2,"all":false,"targets":[{gone}]}}"#);
         let (kind, servers, _) = fleet.take(&received(&text, true));
         assert_eq!((kind, servers[0].condition), (ListKind::Changes, Condition::Gone));
-        assert_eq!(fleet.address(id), None);
+        assert_eq!(fleet.addresses.address(id), None);
     }
 }
--- a/crates/mintshelf/src/net/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -1,19 +1,20 @@
 //! The decision module's surroundings: events go in here and actions come out,
 //! in order. Everything runs on one thread, so a turn is never interrupted.
 
-use crate::net::clock::Clock;
-use crate::net::config::Config;
-use crate::net::discovery::{self, Fleet};
-use crate::net::limits::Limits;
-use crate::net::message::{parse_report, Held};
-use crate::net::peers::Peers;
-use crate::net::probe::Probing;
-use crate::net::upstream::{Answer, Ended, To, Upstream};
-use eiderusher::api::*;
-use eiderusher::decide::Balancer;
+use crate::clock::Clock;
+use crate::discovery::{Discovery, Fleet};
+use crate::endpoints::{Endpoints, ListSink};
+use crate::limits::Limits;
+use crate::message::{parse_report, Held};
+use crate::peers::Peers;
+use crate::probe::Probing;
+use crate::upstream::{Answer, Ended, To, Upstream};
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::Request;
-use std::cell::{Cell, RefCell};
+use mintshelf_balancer::api::*;
+use mintshelf_balancer::decide::Balancer;
+use mintshelf_config::platform::Config;
+use std::cell::RefCell;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::future::poll_fn;
 use std::io::Write;
@@ -97,13 +98,13 @@
 /// Feeds the decision module and carries out what it decides.
 pub struct Driver {
     core: RefCell<Core>,
-    /// The servers by number.
-    pub fleet: RefCell<Fleet>,
+    endpoints: Endpoints,
+    /// Absent where the servers come from elsewhere.
+    discovery: Option<Rc<Discovery>>,
     clock: Clock,
     upstream: Upstream,
     probing: Probing,
     peers: Option<Peers>,
-    discovery: Cell<SocketAddr>,
     max_attempts: usize,
     /// Fields of the load reports in answers.
     report_fields: Option<Vec<String>>,
@@ -118,6 +119,9 @@
         let idle_timeout = Duration::from_nanos(settings.idle_timeout);
         let fields = config.names.report.clone();
         let mode = settings.report_mode;
+        let endpoints = Endpoints::default();
+        let fleet = Fleet::new(config.names.clone(), endpoints.clone());
+        let discovery = Rc::new(Discovery::new(fleet, config.discovery));
         let mut actions = Vec::new();
         let balancer = Balancer::new(settings.clone(), config.seed, clock.now(), &mut actions);
         let driver = Rc::new(Driver {
@@ -131,7 +135,8 @@
                 last_id: 0,
                 watch: None,
             }),
-            fleet: RefCell::new(Fleet::new(config.names.clone())),
+            endpoints,
+            discovery: Some(discovery.clone()),
             clock,
             upstream: Upstream::new(limits, connect_timeout, idle_timeout),
             probing: Probing {
@@ -139,16 +144,13 @@
                 timeout: connect_timeout,
             },
             peers: peers.filter(|_| settings.peers),
-            discovery: Cell::new(config.discovery),
             max_attempts: settings.max_attempts as usize,
             report_fields: (mode == ReportMode::Answers).then_some(fields),
         });
         driver.perform(&mut driver.core.borrow_mut(), actions);
-        let known = config.known.as_deref();
-        let servers = known.and_then(|text| driver.fleet.borrow_mut().take_known(text));
-        driver.listed(ListKind::Cached, servers.unwrap_or_default());
+        discovery.cached(config.known.as_deref(), &driver);
         if !settings.must_ask {
-            spawn_local(discovery::follow(driver.clone()));
+            spawn_local(discovery.follow(driver.clone()));
         }
         driver
     }
@@ -170,7 +172,7 @@
         };
         let listen = async {
             if let Some(peers) = &self.peers {
-                peers.listen(self).await;
+                peers.listen(|from, payload| self.post(Event::PeerMessage { from, payload })).await;
             }
         };
         tokio::join!(timers, sweep, listen);
@@ -239,13 +241,15 @@
                     if let Some(watch) = core.watch.take() {
                         watch.abort();
                     }
-                    if on {
-                        let watch = discovery::watch(self.clone(), self.discovery.get());
+                    if let Some(discovery) = self.discovery.clone().filter(|_| on) {
+                        let watch = discovery.watch(self.clone());
                         core.watch = Some(spawn_local(watch).abort_handle());
                     }
                 }
                 Action::FetchServers => {
-                    spawn_local(discovery::fetch(self.clone(), self.discovery.get()));
+                    if let Some(discovery) = self.discovery.clone() {
+                        spawn_local(discovery.fetch(self.clone()));
+                    }
                 }
                 // A log that nobody reads must not stop the sidecar.
                 Action::Log { text } => drop(writeln!(std::io::stderr(), "{text}")),
@@ -330,7 +334,7 @@
     }
 
     fn to(&self, server: ServerId) -> Option<To> {
-        let address = self.fleet.borrow().address(server)?;
+        let address = self.endpoints.address(server)?;
         Some(To { server, address })
     }
 
@@ -351,28 +355,18 @@
 
     // ----------------------------------------------------------- discovery
 
-    /// Passes on what discovery says.
-    pub fn listed(self: &Rc<Self>, kind: ListKind, servers: Vec<ListedServer>) {
-        let version = self.fleet.borrow().version();
-        self.post(Event::Servers { kind, version, entries: servers.into() });
-    }
-
-    /// Where discovery answers now.
-    pub fn discovery(&self) -> SocketAddr {
-        self.discovery.get()
-    }
-
     /// Turns to another address of discovery. The calls under way go on until
     /// the module starts new ones, so that no news is missed in between.
     pub fn move_discovery(self: &Rc<Self>, to: SocketAddr) {
-        if self.discovery.replace(to) != to {
+        if self.discovery.as_ref().is_some_and(|discovery| discovery.move_to(to)) {
             self.post(Event::DiscoveryMoved);
         }
     }
+}
 
-    /// Passes on that a call to discovery failed.
-    pub fn list_failed(self: &Rc<Self>) {
-        self.listed(ListKind::Failed, Vec::new());
+impl ListSink for Rc<Driver> {
+    fn listed(&self, kind: ListKind, version: u64, servers: Vec<ListedServer>) {
+        self.post(Event::Servers { kind, version, entries: servers.into() });
     }
 }
 
--- a/crates/mintshelf/src/net/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -1,12 +1,10 @@
 //! Clients' connections: requests in, answers out.
 
-use crate::net::config::Names;
-use crate::net::driver::{Arrival, Driver, Message, Reply};
-use crate::net::limits::Limits;
-use crate::net::message::{strip_hop_by_hop, text, Held, BODY_MAX};
-use crate::net::socket::{close_gently, pending, Pending, Socket, Watcher};
+use crate::driver::{Arrival, Driver, Message, Reply};
+use crate::limits::Limits;
+use crate::message::{strip_hop_by_hop, text, Held, BODY_MAX};
+use crate::socket::{close_gently, pending, Pending, Socket, Watcher};
 use bytes::{Bytes, BytesMut};
-use eiderusher::api::{Nanos, Settings};
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{self, HeaderMap, HeaderValue};
@@ -14,6 +12,8 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use mintshelf_balancer::api::{Nanos, Settings};
+use mintshelf_config::platform::Names;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
--- a/crates/mintshelf/src/net/mod.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,9 +1,12 @@
-//! The real sidecar: sockets to events, actions to sockets. No decisions here.
+//! Sockets: events into the decision module, actions out of it. No decisions here.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 pub mod clock;
-pub mod config;
 pub mod discovery;
 pub mod driver;
+pub mod endpoints;
 pub mod inbound;
 pub mod limits;
 pub mod message;
--- a/crates/mintshelf/src/net/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -1,7 +1,7 @@
 //! Budgets: descriptors and the bytes of bodies held.
 
-use crate::net::config::Config;
-use crate::net::message::BODY_MAX;
+use crate::message::BODY_MAX;
+use mintshelf_config::platform::Config;
 use std::sync::Arc;
 use tokio::sync::Semaphore;
 
--- a/crates/mintshelf/src/net/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -1,10 +1,7 @@
 //! Datagrams between sidecars.
 
-use crate::net::driver::Driver;
-use eiderusher::api::Event;
 use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use tokio::net::UdpSocket;
 
 /// Longest message.
@@ -41,16 +38,15 @@
         }
     }
 
-    /// Passes on what peers send; anything else is ignored.
-    pub async fn listen(&self, driver: &Rc<Driver>) {
+    /// Passes on what peers send, with their numbers; anything else is ignored.
+    pub async fn listen(&self, mut take: impl FnMut(u32, Vec<u8>)) {
         let mut buffer = [0; LONGEST + 1];
         loop {
             // An error here tells of an earlier datagram that was not delivered.
             let Ok((len, from)) = self.socket.recv_from(&mut buffer).await else { continue };
             let sender = self.peers.iter().position(|peer| *peer == from);
             if let Some(number) = sender.filter(|_| len <= LONGEST) {
-                let payload = buffer[..len].to_vec();
-                driver.post(Event::PeerMessage { from: number as u32, payload });
+                take(number as u32, buffer[..len].to_vec());
             }
         }
     }
--- a/crates/mintshelf/src/net/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -1,9 +1,9 @@
 //! Probes: whether a server is healthy, and how loaded.
 
-use crate::net::message::{parse_report, Held};
-use crate::net::upstream::{To, Upstream};
-use eiderusher::api::Outcome;
+use crate::message::{parse_report, Held};
+use crate::upstream::{To, Upstream};
 use hyper::{header, Request, StatusCode};
+use mintshelf_balancer::api::Outcome;
 use std::time::Duration;
 use tokio::time::timeout;
 
--- a/crates/mintshelf/src/net/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -1,15 +1,15 @@
 //! Connections to servers, and one exchange on one connection.
 
-use crate::net::limits::Limits;
-use crate::net::message::{text, Held, BODY_MAX};
-use crate::net::socket::{pending, Pending, Socket, Watcher};
+use crate::limits::Limits;
+use crate::message::{text, Held, BODY_MAX};
+use crate::socket::{pending, Pending, Socket, Watcher};
 use bytes::{Bytes, BytesMut};
-use eiderusher::api::{Outcome, ServerId};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
 use hyper::header::{self, HeaderMap};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use mintshelf_balancer::api::{Outcome, ServerId};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::future::{poll_fn, Future};
--- a/tests/common/net.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,4 +1,4 @@
-//! The whole program between a client, servers and discovery on loopback
+//! Stand-ins for tests: the whole program between a client, servers and discovery on loopback
 //! sockets. Each test has an address of its own; waits are for conditions.
 
 use serde_json::{json, Value};
@@ -68,21 +68,26 @@
 /// One HTTP message: its head, up to the blank line, and its body.
 #[derive(Debug, Clone, Default)]
 pub struct Message {
+    /// Up to and with the blank line.
     pub head: String,
+    /// What its length announced.
     pub body: Vec<u8>,
 }
 
 impl Message {
+    /// A header's value, the first of that name.
     pub fn header(&self, name: &str) -> Option<&str> {
         let named = |line: &&str| line.split(':').next().unwrap().eq_ignore_ascii_case(name);
         let line = self.head.lines().skip(1).find(named)?;
         Some(line.split_once(':').unwrap().1.trim())
     }
 
+    /// Of an answer.
     pub fn status(&self) -> u16 {
         self.head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
     }
 
+    /// Of a request, with its query.
     pub fn path(&self) -> &str {
         self.head.split(' ').nth(1).unwrap_or("")
     }
@@ -113,6 +118,7 @@
 
 /// A server: it notes each request and writes what it is told for it.
 pub struct Server {
+    /// Its address.
     pub at: SocketAddr,
     seen: Arc<Mutex<Vec<Message>>>,
     /// Connections accepted.
@@ -151,6 +157,7 @@
         self.seen.lock().unwrap().clone()
     }
 
+    /// How discovery lists it.
     pub fn entry(&self, uid: &str) -> Value {
         json!({"uid": uid, "endpoint": self.at.to_string(), "state": "SERVING"})
     }
@@ -161,6 +168,7 @@
 
 /// Discovery: one list, and watches that wait until it changes.
 pub struct Discovery {
+    /// Its address.
     pub at: SocketAddr,
     list: Arc<(Mutex<Versioned>, Condvar)>,
     /// Calls answered.
@@ -169,6 +177,7 @@
 }
 
 impl Discovery {
+    /// Starts it with a list.
     pub fn start(rev: u64, entries: Vec<Value>) -> Self {
         let at = free_address();
         let list = Arc::new((Mutex::new((rev, entries)), Condvar::new()));
@@ -197,6 +206,7 @@
         Discovery { at, list, calls, _closing: closing }
     }
 
+    /// Changes the list, and tells those that wait.
     pub fn set(&self, entries: Vec<Value>) {
         let mut held = self.list.0.lock().unwrap();
         *held = (held.0 + 1, entries);
@@ -206,9 +216,13 @@
 
 /// The program, ended when the test is.
 pub struct Sidecar {
+    /// Its address.
     pub at: SocketAddr,
+    /// The process.
     pub child: Child,
+    /// Its configuration file.
     pub file: PathBuf,
+    /// What that file held at the start.
     pub config: Value,
 }
 
@@ -238,17 +252,14 @@
 }
 
 impl Sidecar {
-    /// Starts the program and waits until it says that it is ready.
-    pub fn start(config: Value) -> Self {
+    /// Starts the program (its path) and waits until it says that it is ready.
+    pub fn start(program: &str, config: Value) -> Self {
         let at: SocketAddr = config["listen"].as_str().unwrap().parse().unwrap();
         let file = std::env::temp_dir()
-            .join(format!("eiderusher-{}.json", at.to_string().replace(':', "-")));
+            .join(format!("mintshelf-{}.json", at.to_string().replace(':', "-")));
         std::fs::write(&file, config.to_string()).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_eiderusher"))
-            .env("RELAY_CONFIG", &file)
-            .stderr(Stdio::null())
-            .spawn()
-            .unwrap();
+        let child =
+            Command::new(program).env("RELAY_CONFIG", &file).stderr(Stdio::null()).spawn().unwrap();
         let sidecar = Sidecar { at, child, file, config };
         let ready = || ask(at, b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
         wait_until("the sidecar is ready", || ready().is_some_and(|a| a.status() == 200));
@@ -261,11 +272,13 @@
         self.signal("HUP");
     }
 
+    /// Sends a signal by name.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args(["-s", name, &pid]).status().unwrap().success());
     }
 
+    /// Whether the process still runs.
     pub fn running(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
     }
@@ -304,6 +317,7 @@
     Message::read(&mut stream)
 }
 
+/// A new connection, whose reads give up at last.
 pub fn connect(at: SocketAddr) -> Option<TcpStream> {
     let stream = TcpStream::connect(at).ok()?;
     stream.set_read_timeout(Some(LONG)).unwrap();
