Match routes by look-ups, with the Gateway API's precedence

Need: an ordinary HTTP daemon needs routes by host, path, method, header and query, and ten thousand of them must cost what ten do. Change: a routing package without I/O: rules, their precedence written down, a table that finds the winner by host, exact path, expression and element prefix, and a weighted split over clusters that is sticky by a key.

--- /dev/null
+++ b/crates/routing/tests/matching.rs
@@ -0,0 +1,203 @@
+//! The table against a plain matcher, and the rules of precedence one by one.
+
+use http::{HeaderMap, HeaderName, Method};
+use mintshelf_routing::*;
+use proptest::prelude::*;
+use std::sync::Arc;
+
+fn rule(host: &str, path: PathMatch) -> Rule {
+    Rule { hosts: vec![Host::parse(host).unwrap()], path, ..Rule::default() }
+}
+
+fn prefix(path: &str) -> PathMatch {
+    PathMatch::Prefix(path.into())
+}
+
+fn exact(path: &str) -> PathMatch {
+    PathMatch::Exact(path.into())
+}
+
+fn regex(text: &str) -> PathMatch {
+    PathMatch::Regex(Pattern::new(text).unwrap())
+}
+
+fn table(rules: Vec<Rule>) -> Table {
+    Table::new(rules.into_iter().map(Arc::new)).unwrap()
+}
+
+fn find(table: &Table, host: &str, path: &str) -> Option<usize> {
+    table.find(&Probe::new(host, path, &Method::GET, &HeaderMap::new()))
+}
+
+#[test]
+fn the_more_specific_host_wins() {
+    let t = table(vec![
+        rule("*", prefix("/")),
+        rule("*.example", prefix("/")),
+        rule("*.lab.example", prefix("/")),
+        rule("a.lab.example", prefix("/only")),
+    ]);
+    assert_eq!(find(&t, "other", "/"), Some(0));
+    assert_eq!(find(&t, "", "/"), Some(0));
+    assert_eq!(find(&t, "x.example:8080", "/"), Some(1));
+    // A wildcard stands for a label at least.
+    assert_eq!(find(&t, "example", "/"), Some(0));
+    assert_eq!(find(&t, "lab.example", "/"), Some(1));
+    assert_eq!(find(&t, "b.c.LAB.example", "/"), Some(2));
+    assert_eq!(find(&t, "a.lab.example", "/only/this"), Some(3));
+    // The exact host has no route for it, so the next one is asked.
+    assert_eq!(find(&t, "a.lab.example", "/else"), Some(2));
+}
+
+#[test]
+fn exact_before_regex_before_the_longest_prefix() {
+    let t = table(vec![
+        rule("*", prefix("/a")),
+        rule("*", prefix("/a/b/")),
+        rule("*", exact("/a/b")),
+        rule("*", regex("/a/[0-9]+")),
+    ]);
+    assert_eq!(find(&t, "h", "/a/b"), Some(2));
+    assert_eq!(find(&t, "h", "/a/b/c"), Some(1));
+    assert_eq!(find(&t, "h", "/a/b/"), Some(1));
+    assert_eq!(find(&t, "h", "/a/bc"), Some(0));
+    assert_eq!(find(&t, "h", "/a/17"), Some(3));
+    assert_eq!(find(&t, "h", "/a/17x"), Some(0));
+    assert_eq!(find(&t, "h", "/ab"), None);
+}
+
+#[test]
+fn then_method_headers_query_and_the_place_in_the_file() {
+    let on = |methods: Vec<Method>, headers: usize, query: usize| {
+        let test =
+            |name: &str, n: usize| Test { name: format!("{name}{n}"), value: Value::Present };
+        Rule {
+            methods,
+            headers: (0..headers).map(|n| test("x-", n)).collect(),
+            query: (0..query).map(|n| test("q", n)).collect(),
+            ..Rule::default()
+        }
+    };
+    let t = table(vec![
+        on(vec![], 0, 0),
+        on(vec![], 0, 1),
+        on(vec![], 1, 0),
+        on(vec![], 2, 0),
+        on(vec![Method::GET], 0, 0),
+        on(vec![Method::GET], 0, 0),
+    ]);
+    let mut headers = HeaderMap::new();
+    let get = |m: &Method, uri: &str, h: &HeaderMap| t.find(&Probe::new("", uri, m, h));
+    assert_eq!(get(&Method::GET, "/?q0=1", &headers), Some(4));
+    assert_eq!(get(&Method::PUT, "/", &headers), Some(0));
+    assert_eq!(get(&Method::PUT, "/?q0", &headers), Some(1));
+    headers.insert("x-0", "v".parse().unwrap());
+    assert_eq!(get(&Method::PUT, "/?q0=1", &headers), Some(2));
+    headers.insert("x-1", "v".parse().unwrap());
+    assert_eq!(get(&Method::PUT, "/?q0=1", &headers), Some(3));
+}
+
+#[test]
+fn hosts_and_expressions_that_mean_nothing_are_refused() {
+    for text in ["", "a b", "a.*", "*a", "http://a", "a:80", "a..b", "[::zz]", "*."] {
+        assert!(Host::parse(text).is_err(), "{text}");
+    }
+    for text in ["(", "a)|(b", "[", "(?:a{1000}){1000}"] {
+        assert!(Pattern::new(text).is_err(), "{text}");
+    }
+    assert!(Pattern::new("a|b").unwrap().takes("b") && !Pattern::new("a|b").unwrap().takes("ab"));
+}
+
+#[test]
+fn paths_that_climb_are_seen() {
+    for path in ["/a/../b", "/..", "/a/.", "/%2e%2E/a", "/.%2e/"] {
+        assert!(mintshelf_routing::pattern::has_dot_segments(path), "{path}");
+    }
+    for path in ["/a..b", "/...", "/a/.b", "/"] {
+        assert!(!mintshelf_routing::pattern::has_dot_segments(path), "{path}");
+    }
+}
+
+#[test]
+fn a_split_goes_by_weight_and_sticks_to_its_key() {
+    let split = |b: u32| Split::new([("a".to_string(), 1), ("b".to_string(), b)]).unwrap();
+    let (three, four) = (split(3), split(4));
+    let keys: Vec<[u8; 4]> = (0..20_000u32).map(u32::to_le_bytes).collect();
+    let to_b = keys.iter().filter(|k| three.pick(&k[..]) == "b").count();
+    assert!((14_500..15_500).contains(&to_b), "{to_b}");
+    // With more weight on b no key leaves it.
+    assert!(keys.iter().all(|k| three.pick(&k[..]) == "a" || four.pick(&k[..]) == "b"));
+    assert!(Split::new([("a".to_string(), 0)]).is_none());
+}
+
+fn host_strategy() -> impl Strategy<Value = String> {
+    prop::sample::select(vec!["a", "b.a", "c.b.a", "x", "d.c.b.a"]).prop_map(String::from)
+}
+
+fn path_strategy() -> impl Strategy<Value = String> {
+    prop::collection::vec(prop::sample::select(vec!["", "a", "b", "ab", "1"]), 0..4)
+        .prop_map(|parts| format!("/{}", parts.join("/")))
+}
+
+fn rule_strategy() -> impl Strategy<Value = Rule> {
+    let host = (host_strategy(), 0..3).prop_map(|(name, kind)| match kind {
+        0 => Host::Any,
+        1 => Host::Under(name),
+        _ => Host::Exact(name),
+    });
+    let path = (path_strategy(), 0..3, 0usize..4).prop_map(|(path, kind, which)| match kind {
+        0 => prefix(&path),
+        1 => exact(&path),
+        _ => regex(["/.*", "/a/?.*", "/[ab]/.*", "/(a|b)/.+"][which]),
+    });
+    let method = prop::sample::select(vec![Method::GET, Method::PUT, Method::DELETE]);
+    let tests = |names: [&'static str; 2]| {
+        let value = prop::sample::select(vec![
+            Value::Present,
+            Value::Exact("1".into()),
+            Value::Regex(Pattern::new("[0-9]").unwrap()),
+        ]);
+        let test = (prop::sample::select(names.to_vec()), value)
+            .prop_map(|(name, value)| Test { name: name.into(), value });
+        prop::collection::vec(test, 0..3)
+    };
+    (
+        prop::collection::vec(host, 0..3),
+        path,
+        prop::collection::vec(method, 0..2),
+        tests(["x-a", "x-b"]),
+        tests(["p", "q"]),
+    )
+        .prop_map(|(hosts, path, methods, headers, query)| Rule {
+            hosts,
+            path,
+            methods,
+            headers,
+            query,
+        })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 600, failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    /// The look-ups find what asking every rule finds.
+    #[test]
+    fn the_table_agrees_with_the_plain_matcher(
+        rules in prop::collection::vec(rule_strategy(), 1..24),
+        asked in prop::collection::vec((host_strategy(), path_strategy(), 0usize..3,
+            prop::sample::select(vec!["", "1", "x"]), prop::sample::select(vec!["", "?p=1", "?q&p=x"])), 12),
+    ) {
+        let table = table(rules);
+        for (host, path, method, header, query) in asked {
+            let method = [Method::GET, Method::PUT, Method::POST][method].clone();
+            let mut headers = HeaderMap::new();
+            if !header.is_empty() {
+                headers.insert(HeaderName::from_static("x-a"), header.parse().unwrap());
+            }
+            let uri = format!("{path}{query}");
+            let probe = Probe::new(&host, &uri, &method, &headers);
+            prop_assert_eq!(table.find(&probe), table.find_naively(&probe), "{} {}", host, uri);
+        }
+    }
+}
