--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -3,4 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod file;
+pub mod model;
 pub mod platform;
+pub mod problem;
--- /dev/null
+++ b/crates/config/src/model.rs
@@ -0,0 +1,218 @@
+//! The operator's file as the program uses it: everything is checked, nothing is text that
+//! still has to be read.
+
+use http::{HeaderName, HeaderValue, StatusCode};
+use mintshelf_balancer::api::Effect;
+use mintshelf_routing::{Rule, Split};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A whole file.
+#[derive(Debug, Clone, PartialEq)]
+pub struct File {
+    /// Where clients connect.
+    pub listeners: Vec<Listener>,
+    /// In the order of the file.
+    pub routes: Vec<Route>,
+    /// By name.
+    pub classes: BTreeMap<String, Class>,
+    /// By name.
+    pub clusters: BTreeMap<String, Cluster>,
+    /// What the process may hold.
+    pub limits: Limits,
+    /// What is told of this hop.
+    pub forwarding: Forwarding,
+    /// Where figures are given out; off if absent.
+    pub admin: Option<SocketAddr>,
+    /// Of the text: the same file, the same hash.
+    pub hash: u64,
+    /// The line of every field that the file states, by its path; all else is a default.
+    pub stated: BTreeMap<String, usize>,
+}
+
+/// An address that takes clients.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listener {
+    /// Named by routes.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// A kind of request: its effect, times and worth.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Class {
+    /// The mildest effect that its requests may have.
+    pub effect: Effect,
+    /// For how long servers drop repeats of a keyed request.
+    pub window: Duration,
+    /// An answer within this time earns the full worth.
+    pub aim: Duration,
+    /// How long a request may wait for the head of its answer.
+    pub deadline: Duration,
+    /// What an answer is worth.
+    pub worth: f64,
+    /// Fraction of the worth that a late answer keeps.
+    pub late_worth: f64,
+}
+
+/// Servers that do the same.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Cluster {
+    /// Its servers.
+    pub endpoints: Vec<Endpoint>,
+    /// The zone of this sidecar, for this cluster.
+    pub zone: String,
+    /// Longest wait for a connection.
+    pub connect_timeout: Duration,
+    /// Servers close idle connections after this.
+    pub idle_timeout: Duration,
+    /// Most attempts of one request.
+    pub max_attempts: u32,
+    /// Statuses that count as a failure of the endpoint.
+    pub failure_statuses: Vec<u16>,
+    /// A header by which a server says that it never ran the request.
+    pub never_ran_header: Option<HeaderName>,
+    /// How long a server that has just been added warms up.
+    pub warm_up: Duration,
+    /// The part of its capacity at which it starts.
+    pub warm_from: f64,
+    /// Longest advice on when to come back.
+    pub max_retry_after: Duration,
+}
+
+/// One server of a cluster.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Endpoint {
+    /// Unique in its cluster.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its size against the others'; 0 for none of the traffic.
+    pub weight: u32,
+    /// Its zone.
+    pub zone: String,
+}
+
+/// What is done with the requests that match.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Route {
+    /// For logs and `explain`.
+    pub name: String,
+    /// Its line in the file.
+    pub line: usize,
+    /// Names of its listeners; empty for all.
+    pub listeners: Vec<String>,
+    /// What it asks of a request.
+    pub rule: Arc<Rule>,
+    /// Name of its class.
+    pub class: String,
+    /// The effect of all its requests, where the operator knows better than their methods.
+    pub effect: Option<Effect>,
+    /// What comes of them.
+    pub then: Then,
+}
+
+/// What comes of a request that matches.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Then {
+    /// It goes to a server.
+    Forward(Forward),
+    /// Its client is sent elsewhere.
+    Redirect(Redirect),
+    /// It is answered here.
+    Respond(Respond),
+}
+
+/// How a request is passed on.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Forward {
+    /// The clusters.
+    pub split: Split,
+    /// What keeps a client at one cluster.
+    pub sticky: Option<Sticky>,
+    /// What the route's path prefix becomes.
+    pub rewrite_prefix: Option<String>,
+    /// Edits on the way to the server.
+    pub request: Edits,
+    /// Edits on the way back.
+    pub response: Edits,
+}
+
+/// Where the key of a sticky split comes from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Sticky {
+    /// A header's value.
+    Header(HeaderName),
+    /// A cookie's value.
+    Cookie(String),
+    /// A query parameter's value.
+    Query(String),
+    /// The client's address.
+    Client,
+}
+
+/// Changes to headers: removed first, then set, then added.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Edits {
+    /// Taken out.
+    pub remove: Vec<HeaderName>,
+    /// Put in place of what is there.
+    pub set: Vec<(HeaderName, HeaderValue)>,
+    /// Put beside what is there.
+    pub add: Vec<(HeaderName, HeaderValue)>,
+}
+
+/// Where a client is sent.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Redirect {
+    /// 301, 302, 303, 307 or 308.
+    pub status: StatusCode,
+    /// Another scheme.
+    pub scheme: Option<String>,
+    /// Another host, maybe with a port.
+    pub host: Option<String>,
+    /// Another path, whole.
+    pub path: Option<String>,
+    /// What the route's path prefix becomes.
+    pub prefix: Option<String>,
+}
+
+/// An answer of the route's own.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Respond {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its body.
+    pub body: String,
+    /// What the body is.
+    pub content_type: HeaderValue,
+}
+
+/// What the process may hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Limits {
+    /// Memory in bytes; budgets are parts of it.
+    pub memory: usize,
+    /// File descriptors.
+    pub sockets: usize,
+    /// The head of a request must have come so long after its first byte.
+    pub head_timeout: Duration,
+    /// An idle client's connection is closed after this.
+    pub idle_timeout: Duration,
+    /// A body that stops for so long, either way, is given up.
+    pub stream_timeout: Duration,
+}
+
+/// What is told of this hop.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Forwarding {
+    /// The name in `Via` (RFC 9110 7.6.3); no `Via` if absent.
+    pub via: Option<String>,
+    /// Whether `Forwarded` (RFC 7239) names the client.
+    pub forwarded: bool,
+    /// The header with a request's id; one is made where none came.
+    pub request_id: Option<HeaderName>,
+}
--- a/crates/routing/src/split.rs
+++ b/crates/routing/src/split.rs
@@ -22,6 +22,11 @@
         (!parts.is_empty()).then_some(Split { parts })
     }
 
+    /// One cluster and no other.
+    pub fn only(name: &str) -> Self {
+        Split { parts: vec![(name.to_string(), 1.0)] }
+    }
+
     /// The cluster for a key. A request without one brings any bytes, best random.
     pub fn pick(&self, key: &[u8]) -> &str {
         if let [(only, _)] = &self.parts[..] {
