--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -317,7 +317,8 @@
         /// How long the client waits for this try.
         patience: Nanos,
     },
-    /// An answer's stream has begun on an attempt.
+    /// An answer's stream has begun on an attempt, or so much of the request's own body has
+    /// gone that it can't be sent again.
     StreamStarted {
         /// The request.
         id: RequestId,
--- a/crates/balancer/src/decide/attempts.rs
+++ b/crates/balancer/src/decide/attempts.rs
@@ -218,7 +218,8 @@
     /// Silence counts against the server, and as congestion, before any
     /// time-out. Danger: a time-out may come seconds after the jam began.
     pub(super) fn on_overdue(&mut self, now: Nanos, id: RequestId, attempt: usize) {
-        let Some(request) = self.requests.get_mut(&id) else { return };
+        // An answer that has begun is no silence.
+        let Some(request) = self.requests.get_mut(&id).filter(|r| !r.streaming) else { return };
         let Some(record) = request.attempts.get_mut(attempt).filter(|a| a.out()) else { return };
         self.line_stale = true;
         let Some(&s) = self.index.get(&record.server) else { return };
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod file;
 pub mod model;
+pub mod module;
 pub mod platform;
 pub mod problem;
--- /dev/null
+++ b/crates/config/src/module.rs
@@ -0,0 +1,158 @@
+//! A cluster of the operator's file as the decision module takes it.
+
+use crate::model::{Class, Cluster, File, Then};
+use mintshelf_balancer::api::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Shortest time between two turns that the module reckons with.
+const TICK: Nanos = 5_000_000;
+/// Multiple of its present capacity that pushes a cold server over, and for how long.
+const FALL_MULTIPLE: f64 = 3.0;
+const TIP_AFTER: Nanos = 2_000_000_000;
+/// Price of crossing zones, in points a request, where a cluster names a zone.
+const CROSS_ZONE: f64 = 0.02;
+
+/// A class of the file in the module's numbers.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ModuleClass {
+    /// The mildest effect that its requests may have.
+    pub effect: Effect,
+    /// The module's number for each effect, by [`severity`].
+    pub numbers: [Option<u32>; 3],
+    /// How long a request may wait.
+    pub deadline: Nanos,
+}
+
+/// What a cluster's instance of the module is started with.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Module {
+    /// Its settings.
+    pub settings: Settings,
+    /// The classes of the routes that lead to the cluster, by name.
+    pub classes: BTreeMap<String, ModuleClass>,
+    /// Its servers, with their addresses.
+    pub servers: Vec<(ListedServer, SocketAddr)>,
+}
+
+/// A number for an effect, the mildest first.
+pub fn severity(effect: Effect) -> usize {
+    match effect {
+        Effect::Safe => 0,
+        Effect::Keyed => 1,
+        Effect::Unsafe => 2,
+    }
+}
+
+fn nanos(span: Duration) -> Nanos {
+    u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)
+}
+
+/// The effects that a request of a class can turn out to have: its class's, or unsafe by
+/// its method or for want of a key; and those that routes state.
+fn effects(class: &Class, stated: &BTreeSet<usize>) -> Vec<Effect> {
+    [Effect::Safe, Effect::Keyed, Effect::Unsafe]
+        .into_iter()
+        .filter(|e| *e == class.effect || *e == Effect::Unsafe || stated.contains(&severity(*e)))
+        .collect()
+}
+
+/// Lays a cluster out for the module.
+pub fn module(file: &File, name: &str, cluster: &Cluster) -> Module {
+    let leads =
+        |then: &Then| matches!(then, Then::Forward(f) if f.split.clusters().any(|c| c == name));
+    let routes: Vec<_> = file.routes.iter().filter(|route| leads(&route.then)).collect();
+    let mut classes = BTreeMap::new();
+    let mut laid = Vec::new();
+    for (name, class) in &file.classes {
+        let of: Vec<_> = routes.iter().filter(|route| route.class == *name).collect();
+        if of.is_empty() {
+            continue;
+        }
+        let stated = of.iter().filter_map(|route| route.effect).map(severity).collect();
+        let mut numbers = [None; 3];
+        for effect in effects(class, &stated) {
+            numbers[severity(effect)] = Some(laid.len() as u32);
+            laid.push(mintshelf_balancer::api::Class {
+                effect,
+                group: Group::All,
+                dedup_window: nanos(class.window),
+                aim: nanos(class.aim),
+                deadline: nanos(class.deadline),
+                worth: class.worth,
+                late_worth: class.late_worth,
+            });
+        }
+        let class = ModuleClass { effect: class.effect, numbers, deadline: nanos(class.deadline) };
+        classes.insert(name.clone(), class);
+    }
+    let zones: BTreeSet<&str> = std::iter::once(cluster.zone.as_str())
+        .chain(cluster.endpoints.iter().map(|e| e.zone.as_str()))
+        .collect();
+    let zone = |name: &str| zones.iter().position(|z| *z == name).unwrap_or(0) as u32;
+    let servers = cluster.endpoints.iter().filter(|e| e.weight > 0).map(|endpoint| {
+        // Another address under an old name is another server.
+        let hash = xxh3_64(format!("{} {}", endpoint.name, endpoint.address).as_bytes());
+        let listed = ListedServer {
+            id: (hash ^ (hash >> 32)) as u32,
+            zone: zone(&endpoint.zone),
+            size: f64::from(endpoint.weight),
+            ..ListedServer::default()
+        };
+        (listed, endpoint.address)
+    });
+    let settings = Settings {
+        instances: 1,
+        zone: zone(&cluster.zone),
+        zones: zones.len() as u32,
+        kinds: 1,
+        classes: laid,
+        size_kind: SizeKind::Nominal,
+        tick: TICK,
+        answer_slack: 4 * TICK,
+        drain_grace: 250_000_000,
+        cold_from: cluster.warm_from,
+        cold: nanos(cluster.warm_up),
+        fall_multiple: FALL_MULTIPLE,
+        tip_after: TIP_AFTER,
+        cancel: true,
+        retry_after: true,
+        max_retry_after: nanos(cluster.max_retry_after),
+        max_attempts: cluster.max_attempts,
+        connect_timeout: nanos(cluster.connect_timeout),
+        idle_timeout: nanos(cluster.idle_timeout),
+        goal: Goal { whole: 0.5, worst_window: 0.3, worst_class: 0.2, worst_tenant: 0.0 },
+        prices: Prices {
+            cross_zone: if cluster.zone.is_empty() { 0.0 } else { CROSS_ZONE },
+            ..Prices::default()
+        },
+        ..Settings::default()
+    };
+    Module { settings, classes, servers: servers.collect() }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_class_is_laid_out_for_each_effect_that_it_can_have() {
+        let text = "listen = \"127.0.0.1:1\"\n\
+            [classes.read]\n[classes.queue]\neffect = \"keyed\"\nwindow = \"20s\"\n\
+            [clusters.a]\nendpoints = [\"127.0.0.1:2\", { address = \"127.0.0.1:3\", weight = 0 }]\n\
+            [[routes]]\nprefix = \"/r\"\nclass = \"read\"\ncluster = \"a\"\n\
+            [[routes]]\nprefix = \"/q\"\nclass = \"queue\"\ncluster = \"a\"\n";
+        let file = crate::file::read("f", text.as_bytes()).unwrap();
+        let module = module(&file, "a", &file.clusters["a"]);
+        assert_eq!(module.classes["queue"].numbers, [None, Some(0), Some(1)]);
+        assert_eq!(module.classes["read"].numbers, [Some(2), None, Some(3)]);
+        assert!(!module.classes.contains_key("default"));
+        let effects: Vec<_> = module.settings.classes.iter().map(|c| c.effect).collect();
+        assert_eq!(effects, [Effect::Keyed, Effect::Unsafe, Effect::Safe, Effect::Unsafe]);
+        assert_eq!(module.settings.classes[0].dedup_window, 20_000_000_000);
+        // What has no weight gets nothing.
+        assert_eq!(module.servers.len(), 1);
+    }
+}
--- /dev/null
+++ b/crates/mintshelf/src/admin.rs
@@ -0,0 +1,105 @@
+//! The admin listener: figures and what is in force.
+
+use crate::daemon::Daemon;
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use mintshelf_proxy::clients::Client;
+use mintshelf_proxy::inbound::{Front, FrontBody};
+use mintshelf_proxy::refusal::Refusal;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use std::rc::Rc;
+
+/// Answers `/-/metrics`, `/-/config` and `/-/ready`.
+pub struct Admin {
+    /// What it tells of.
+    pub daemon: Rc<Daemon>,
+}
+
+impl Front for Admin {
+    async fn respond(
+        self: Rc<Self>,
+        _client: Rc<Client>,
+        request: Request<Incoming>,
+        draining: bool,
+    ) -> Response<FrontBody> {
+        let bare = request.method() == Method::HEAD;
+        if request.method() != Method::GET && !bare {
+            let what = "the admin listener only tells";
+            return Refusal::new(StatusCode::METHOD_NOT_ALLOWED, "method", what).response(bare);
+        }
+        let (kind, text) = match request.uri().path() {
+            "/-/metrics" => {
+                let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+                (kind, self.metrics())
+            }
+            "/-/config" => ("application/json", format!("{}\n", self.daemon.in_force())),
+            "/-/ready" if !draining => ("text/plain", "ready\n".to_string()),
+            "/-/ready" => {
+                let what = "the planned end has begun";
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                return Refusal::new(status, "draining", what).response(bare);
+            }
+            _ => {
+                let what = "there are /-/metrics, /-/config and /-/ready";
+                return Refusal::new(StatusCode::NOT_FOUND, "no-page", what).response(bare);
+            }
+        };
+        let body = if bare { Bytes::new() } else { Bytes::from(text) };
+        let mut response = Response::new(FrontBody::whole(body));
+        response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
+        response
+    }
+}
+
+type Label = [(&'static str, String); 1];
+
+impl Admin {
+    fn metrics(&self) -> String {
+        let mut registry = Registry::with_prefix("mintshelf");
+        let mut counters = |name: &str, help: &str, label: &'static str, of: Vec<(String, u64)>| {
+            let family = Family::<Label, Counter>::default();
+            for (value, count) in of {
+                family.get_or_create(&[(label, value)]).inc_by(count);
+            }
+            registry.register(name, help, family);
+        };
+        let daemon = &self.daemon;
+        let statuses = daemon.counts.statuses.borrow();
+        let statuses = statuses.iter().map(|(status, n)| (status.to_string(), *n)).collect();
+        counters("answers", "Answers to clients, by status", "status", statuses);
+        counters("requests", "Requests by route", "route", daemon.hits());
+        let refusals = daemon.counts.refusals.borrow();
+        let refusals = refusals.iter().map(|(code, n)| (code.to_string(), *n)).collect();
+        counters("refusals", "Errors of this side's own, by code", "code", refusals);
+        let reloads = daemon.reloads().map(|(result, n)| (result.to_string(), n));
+        counters("reloads", "Files read again, by result", "result", reloads.to_vec());
+        let mut gauges = |name: &str, help: &str, label: &'static str, of: Vec<(String, i64)>| {
+            let family = Family::<Label, Gauge>::default();
+            for (value, level) in of {
+                family.get_or_create(&[(label, value)]).set(level);
+            }
+            registry.register(name, help, family);
+        };
+        let pools = daemon.pools();
+        let of = |level: &dyn Fn(&(String, [usize; 3])) -> usize| {
+            pools.iter().map(|pool| (pool.0.clone(), level(pool) as i64)).collect()
+        };
+        let open = of(&|pool| pool.1[0]);
+        gauges("open_requests", "Requests that have no answer yet", "cluster", open);
+        gauges("timers", "Timers set for open requests", "cluster", of(&|pool| pool.1[1]));
+        gauges("endpoints", "Endpoints listed", "cluster", of(&|pool| pool.1[2]));
+        let clients: Gauge = Gauge::default();
+        clients.set(daemon.clients.len() as i64);
+        registry.register("clients", "Connections of clients", clients);
+        let mut text = String::new();
+        match prometheus_client::encoding::text::encode(&mut text, &registry) {
+            Ok(()) => text,
+            Err(_) => "# EOF\n".to_string(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/mintshelf/src/daemon.rs
@@ -0,0 +1,404 @@
+//! The daemon: what an operator's file describes, in force until the next good one.
+
+use crate::admin::Admin;
+use mintshelf_balancer::api::ListedServer;
+use mintshelf_config::file;
+use mintshelf_config::model::{File, Route, Then};
+use mintshelf_config::module::{module, Module};
+use mintshelf_config::platform::Names;
+use mintshelf_proxy::clients::{Clients, Patience};
+use mintshelf_proxy::driver::{Driver, Spec};
+use mintshelf_proxy::inbound::{listen, Front, Inbound};
+use mintshelf_proxy::limits::Limits;
+use mintshelf_proxy::plain::{Counts, Plain, Pool, Serving};
+use mintshelf_proxy::upstream::{Connections, Style};
+use mintshelf_routing::Table;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::hash::{BuildHasher, Hasher, RandomState};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+/// A listener that is given up goes on accepting for so long: what was on its way is
+/// answered, and told to close.
+const LINGER: Duration = Duration::from_millis(500);
+/// How often the end and the retired look whether the last request is over.
+const LOOK: Duration = Duration::from_millis(50);
+/// How often a watched file is looked at.
+const WATCH: Duration = Duration::from_secs(1);
+
+struct Listening {
+    front: Rc<Plain>,
+    name: String,
+    accepting: AbortHandle,
+    draining: CancellationToken,
+}
+
+struct Running {
+    pool: Rc<Pool>,
+    module: Module,
+    style: Style,
+    run: AbortHandle,
+}
+
+#[derive(Default)]
+struct State {
+    file: Option<Rc<File>>,
+    taken: Option<SystemTime>,
+    listeners: BTreeMap<SocketAddr, Listening>,
+    pools: BTreeMap<String, Running>,
+}
+
+/// What is in force, and what is shared by all that ever was.
+pub struct Daemon {
+    path: PathBuf,
+    state: RefCell<State>,
+    limits: Limits,
+    connections: Rc<Connections>,
+    patience: Patience,
+    /// All clients' connections.
+    pub clients: Rc<Clients>,
+    /// What was done.
+    pub counts: Rc<Counts>,
+    reloads: [Cell<u64>; 2],
+    seed: u64,
+}
+
+/// Why a file is not taken.
+type Refused = Vec<String>;
+
+/// Reads a file; the errors are lines.
+pub fn read(path: &Path) -> Result<File, Refused> {
+    let name = path.display().to_string();
+    let bytes = std::fs::read(path).map_err(|e| vec![format!("{name}: {e}")])?;
+    file::read(&name, &bytes)
+        .map_err(|problems| problems.iter().map(|problem| problem.to_string()).collect())
+}
+
+impl Daemon {
+    /// Puts a first file in force.
+    pub fn start(path: PathBuf, file: File) -> Result<Rc<Self>, Refused> {
+        let limits = Limits::new(file.limits.sockets, file.limits.memory);
+        let longest = file.classes.values().map(|class| class.deadline).max();
+        let daemon = Rc::new(Daemon {
+            path,
+            state: RefCell::default(),
+            connections: Connections::new(&limits),
+            limits,
+            patience: Patience {
+                receive: file.limits.head_timeout,
+                idle: file.limits.idle_timeout,
+                // Bytes that pass give it anew, so it bounds silence and not size.
+                busy: longest.unwrap_or_default() + file.limits.stream_timeout,
+                by_progress: true,
+            },
+            clients: Rc::default(),
+            counts: Rc::default(),
+            reloads: Default::default(),
+            // From the system's random numbers.
+            seed: RandomState::new().build_hasher().finish(),
+        });
+        let admin = file.admin;
+        daemon.apply(file)?;
+        if let Some(address) = admin {
+            let listener = listen(address).map_err(|e| vec![format!("admin {address}: {e}")])?;
+            let front = Rc::new(Admin { daemon: daemon.clone() });
+            daemon.accept(front, listener, CancellationToken::new());
+        }
+        Ok(daemon)
+    }
+
+    fn accept<F: Front>(
+        &self,
+        front: Rc<F>,
+        listener: TcpListener,
+        draining: CancellationToken,
+    ) -> AbortHandle {
+        let clients = self.clients.clone();
+        let inbound = Inbound::new(front, clients, &self.limits, self.patience, draining);
+        spawn_local(async move { inbound.accept(listener).await }).abort_handle()
+    }
+
+    /// Puts a file in force, whole or not at all. All of it happens in one turn: no request
+    /// sees a part of it.
+    fn apply(&self, file: File) -> Result<(), Refused> {
+        let file = Rc::new(file);
+        let mut tables = Vec::new();
+        for listener in &file.listeners {
+            let on = |route: &&Route| {
+                route.listeners.is_empty() || route.listeners.contains(&listener.name)
+            };
+            let routes: Vec<Route> = file.routes.iter().filter(on).cloned().collect();
+            let table = Table::new(routes.iter().map(|route| route.rule.clone()));
+            tables.push((listener, routes, table.map_err(|e| vec![e])?));
+        }
+        let mut bound = HashMap::new();
+        for listener in &file.listeners {
+            if !self.state.borrow().listeners.contains_key(&listener.address) {
+                let socket = listen(listener.address).map_err(|e| {
+                    vec![format!("listener '{}', {}: {e}", listener.name, listener.address)]
+                })?;
+                bound.insert(listener.address, socket);
+            }
+        }
+        // From here on nothing can fail.
+        let state = &mut *self.state.borrow_mut();
+        self.apply_clusters(state, &file);
+        let clusters: HashMap<String, Rc<Pool>> = state
+            .pools
+            .iter()
+            .map(|(name, running)| (name.clone(), running.pool.clone()))
+            .collect();
+        let stay = |address: &SocketAddr| file.listeners.iter().any(|l| l.address == *address);
+        let gone: Vec<_> = state.listeners.keys().copied().filter(|a| !stay(a)).collect();
+        for address in gone {
+            if let Some(listening) = state.listeners.remove(&address) {
+                listening.draining.cancel();
+                spawn_local(async move {
+                    sleep(LINGER).await;
+                    listening.accepting.abort();
+                });
+            }
+        }
+        for (listener, routes, table) in tables {
+            let serving = Rc::new(Serving {
+                table,
+                hits: routes.iter().map(|_| Cell::new(0)).collect(),
+                routes,
+                clusters: clusters.clone(),
+                forwarding: file.forwarding.clone(),
+            });
+            match (state.listeners.get_mut(&listener.address), bound.remove(&listener.address)) {
+                (Some(listening), _) => {
+                    listening.front.swap(serving);
+                    listening.name = listener.name.clone();
+                }
+                (None, Some(socket)) => {
+                    let (room, counts) = (self.limits.bodies.clone(), self.counts.clone());
+                    let front = Plain::new(serving, room, counts, self.seed);
+                    let draining = CancellationToken::new();
+                    let accepting = self.accept(front.clone(), socket, draining.clone());
+                    let name = listener.name.clone();
+                    let listening = Listening { front, name, accepting, draining };
+                    state.listeners.insert(listener.address, listening);
+                }
+                (None, None) => {}
+            }
+        }
+        if let Some(old) = &state.file {
+            if old.limits != file.limits || old.admin != file.admin {
+                eprintln!("mintshelf: limits and admin are in force from the next start on");
+            }
+        }
+        state.file = Some(file);
+        state.taken = Some(SystemTime::now());
+        Ok(())
+    }
+
+    /// Keeps the clusters that stay as they are, with all that was learned; a change of
+    /// endpoints alone is news to the module like any other list.
+    fn apply_clusters(&self, state: &mut State, file: &File) {
+        let mut old = std::mem::take(&mut state.pools);
+        for (name, cluster) in &file.clusters {
+            let module = module(file, name, cluster);
+            let style = Style::Plain {
+                failures: cluster.failure_statuses.clone(),
+                never_ran: cluster.never_ran_header.clone(),
+                stall: file.limits.stream_timeout,
+            };
+            let same = |running: &Running| {
+                running.module.settings == module.settings
+                    && running.module.classes == module.classes
+                    && running.style == style
+            };
+            let running = match old.remove(name) {
+                Some(mut running) if same(&running) => {
+                    if running.module.servers != module.servers {
+                        running.pool.driver.list(module.servers.clone());
+                        running.module = module;
+                    }
+                    running
+                }
+                other => {
+                    other.into_iter().for_each(retire);
+                    self.start_pool(module, style)
+                }
+            };
+            state.pools.insert(name.clone(), running);
+        }
+        old.into_values().for_each(retire);
+    }
+
+    fn start_pool(&self, module: Module, style: Style) -> Running {
+        let spec = Spec {
+            settings: module.settings.clone(),
+            names: Names::default(),
+            seed: self.seed,
+            style: style.clone(),
+            peers: None,
+            discovery: None,
+        };
+        let driver = Driver::start(spec, self.connections.clone());
+        driver.list(module.servers.clone());
+        let pool = Rc::new(Pool { driver: driver.clone(), classes: module.classes.clone() });
+        let run = spawn_local(async move { driver.run().await }).abort_handle();
+        Running { pool, module, style, run }
+    }
+
+    /// Reads the file again; one that is refused changes nothing.
+    fn reload(&self) {
+        let result = read(&self.path).and_then(|file| self.apply(file));
+        let count = &self.reloads[usize::from(result.is_err())];
+        count.set(count.get() + 1);
+        match result {
+            Ok(()) => eprintln!("mintshelf: {} is in force", self.path.display()),
+            Err(lines) => {
+                eprintln!("mintshelf: {} is refused, and nothing changes:", self.path.display());
+                lines.iter().for_each(|line| eprintln!("{line}"));
+            }
+        }
+    }
+
+    /// How many reads succeeded and failed.
+    pub fn reloads(&self) -> [(&'static str, u64); 2] {
+        [("taken", self.reloads[0].get()), ("refused", self.reloads[1].get())]
+    }
+
+    /// Requests by route, ever.
+    pub fn hits(&self) -> Vec<(String, u64)> {
+        let mut all = self.counts.routes.borrow().clone();
+        for listening in self.state.borrow().listeners.values() {
+            for (name, hits) in listening.front.serving().hits() {
+                *all.entry(name.to_string()).or_default() += hits;
+            }
+        }
+        all.into_iter().collect()
+    }
+
+    /// Each cluster's open requests, timers and endpoints.
+    pub fn pools(&self) -> Vec<(String, [usize; 3])> {
+        let state = self.state.borrow();
+        let pool = |(name, running): (&String, &Running)| {
+            let (open, timers) = running.pool.driver.open();
+            (name.clone(), [open, timers, running.module.servers.len()])
+        };
+        state.pools.iter().map(pool).collect()
+    }
+
+    /// What is in force, for `/-/config`.
+    pub fn in_force(&self) -> serde_json::Value {
+        let state = self.state.borrow();
+        let Some(file) = &state.file else { return serde_json::Value::Null };
+        let taken = state.taken.and_then(|at| at.duration_since(UNIX_EPOCH).ok());
+        let listeners: Vec<_> = state
+            .listeners
+            .iter()
+            .map(|(address, l)| serde_json::json!({"name": l.name, "address": address.to_string()}))
+            .collect();
+        let routes: Vec<_> = file.routes.iter().map(route_in_force).collect();
+        let clusters: BTreeMap<_, _> = state
+            .pools
+            .iter()
+            .map(|(name, running)| {
+                let servers = running.module.servers.iter().map(server_in_force);
+                (name, servers.collect::<Vec<_>>())
+            })
+            .collect();
+        serde_json::json!({
+            "file": self.path.display().to_string(),
+            "hash": format!("{:016x}", file.hash),
+            "taken_unix_ms": taken.map(|at| at.as_millis() as u64),
+            "listeners": listeners, "routes": routes, "clusters": clusters,
+        })
+    }
+
+    /// Ends: no further client is taken, and what is open is answered.
+    async fn end(&self) {
+        let listeners = std::mem::take(&mut self.state.borrow_mut().listeners);
+        listeners.values().for_each(|listening| listening.draining.cancel());
+        sleep(LINGER).await;
+        listeners.values().for_each(|listening| listening.accepting.abort());
+        let busy = || self.state.borrow().pools.values().any(|r| !r.pool.driver.is_idle());
+        let over = async {
+            while busy() || !self.clients.is_empty() {
+                sleep(LOOK).await;
+            }
+        };
+        // Clients that neither send nor leave are not waited for beyond their patience.
+        let _ = timeout(self.patience.busy + self.patience.idle, over).await;
+    }
+}
+
+fn route_in_force(route: &Route) -> serde_json::Value {
+    let to: Vec<&str> = match &route.then {
+        Then::Forward(forward) => forward.split.clusters().collect(),
+        _ => Vec::new(),
+    };
+    serde_json::json!({"name": route.name, "line": route.line, "class": route.class, "clusters": to})
+}
+
+fn server_in_force((server, address): &(ListedServer, SocketAddr)) -> serde_json::Value {
+    serde_json::json!({"address": address.to_string(), "weight": server.size})
+}
+
+/// Lets a cluster that is no longer in force end its requests, then frees it.
+fn retire(running: Running) {
+    spawn_local(async move {
+        // Those that still hold the snapshot may yet begin one: their count tells.
+        while !running.pool.driver.is_idle() || Rc::strong_count(&running.pool) > 1 {
+            sleep(LOOK).await;
+        }
+        running.run.abort();
+    });
+}
+
+/// Looks whether a file has changed, by its text's length and time.
+fn stamp(path: &Path) -> Option<(u64, SystemTime)> {
+    let about = std::fs::metadata(path).ok()?;
+    Some((about.len(), about.modified().ok()?))
+}
+
+/// Serves a file until SIGTERM or SIGINT.
+pub async fn run(path: PathBuf, watch: bool) -> Result<(), String> {
+    let signals = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
+    let mut terminated = signals(SignalKind::terminate())?;
+    let mut interrupted = signals(SignalKind::interrupt())?;
+    let mut hung_up = signals(SignalKind::hangup())?;
+    let refused = |lines: Refused| format!("{} is refused:\n{}", path.display(), lines.join("\n"));
+    let mut seen = stamp(&path);
+    let file = read(&path).map_err(refused)?;
+    let addresses: Vec<String> = file.listeners.iter().map(|l| l.address.to_string()).collect();
+    let daemon = Daemon::start(path.clone(), file).map_err(refused)?;
+    eprintln!("mintshelf: listens on {}", addresses.join(", "));
+    let reloads = async {
+        while hung_up.recv().await.is_some() {
+            daemon.reload();
+        }
+    };
+    let watches = async {
+        loop {
+            sleep(WATCH).await;
+            let now = stamp(&path).filter(|_| watch);
+            if now.is_some() && now != seen {
+                seen = now;
+                daemon.reload();
+            }
+        }
+    };
+    tokio::select! {
+        () = reloads => {}
+        () = watches => {}
+        _ = terminated.recv() => {}
+        _ = interrupted.recv() => {}
+    }
+    eprintln!("mintshelf: ends");
+    daemon.end().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/mintshelf/src/explain.rs
@@ -0,0 +1,143 @@
+//! `mintshelf explain`: what becomes of one request, and why.
+
+use crate::{check, UNUSABLE};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
+use humantime::format_duration;
+use mintshelf_balancer::api::Effect;
+use mintshelf_config::model::{File, Then};
+use mintshelf_proxy::plain::effect_of;
+use mintshelf_routing::{Probe, Table};
+use std::fmt::{Display, Write};
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Explains one request; what can't be understood is exit code 2.
+pub fn run(path: &Path, method: &str, url: &str, headers: &[String]) -> ExitCode {
+    let file = match check::load(path) {
+        Ok(file) => file,
+        Err(code) => return code,
+    };
+    match explain(&file, method, url, headers) {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(what) => {
+            eprintln!("mintshelf: {what}");
+            ExitCode::from(UNUSABLE)
+        }
+    }
+}
+
+fn parse_headers(headers: &[String]) -> Result<HeaderMap, String> {
+    let mut parsed = HeaderMap::new();
+    for header in headers {
+        let wrong = || format!("header '{header}': write it as in -H 'name: value'");
+        let (name, value) = header.split_once(':').ok_or_else(wrong)?;
+        let name: HeaderName = name.trim().parse().map_err(|_| wrong())?;
+        let value: HeaderValue = value.trim().parse().map_err(|_| wrong())?;
+        parsed.append(name, value);
+    }
+    Ok(parsed)
+}
+
+/// What is told of a request, for people.
+pub fn explain(file: &File, method: &str, url: &str, headers: &[String]) -> Result<String, String> {
+    let headers = parse_headers(headers)?;
+    let method: Method =
+        method.parse().map_err(|_| format!("method '{method}': is not a method"))?;
+    let uri: Uri = url.parse().map_err(|e| format!("URL '{url}': {e}"))?;
+    let host = uri.authority().map(|a| a.as_str().to_string());
+    let named = headers.get(http::header::HOST).and_then(|h| h.to_str().ok());
+    let host = host.or(named.map(str::to_string)).unwrap_or_default();
+    let target = uri.path_and_query().map_or("/", |p| p.as_str());
+    let probe = Probe::new(&host, target, &method, &headers);
+    let table = Table::new(file.routes.iter().map(|route| route.rule.clone()))?;
+    let won = table.find(&probe);
+    let mut text = String::new();
+    // Writing to a String cannot fail.
+    let _ = match won.map(|place| &file.routes[place]) {
+        Some(route) => {
+            writeln!(text, "{method} {url} takes route '{}' (line {})", route.name, route.line)
+        }
+        None => writeln!(text, "{method} {url} takes no route: it is answered 404, no-route"),
+    };
+    let others = file.routes.iter().enumerate().filter(|(place, _)| Some(*place) != won);
+    for (_, route) in others {
+        let why = match probe.fails(&route.rule) {
+            Some(failure) => failure.to_string(),
+            None => "it matches too, but is less specific, or comes later".to_string(),
+        };
+        let _ = writeln!(text, "  not '{}' (line {}): {why}", route.name, route.line);
+    }
+    if let Some(place) = won {
+        told(&mut text, file, place, &method, &headers);
+    }
+    Ok(text)
+}
+
+/// A line with a setting, and where it came from.
+fn setting(text: &mut String, file: &File, field: &str, value: impl Display) {
+    let from = match file.stated.get(field) {
+        Some(line) => format!("line {line}"),
+        None => "default".to_string(),
+    };
+    let _ = writeln!(text, "  {field} = {value} ({from})");
+}
+
+fn told(text: &mut String, file: &File, place: usize, method: &Method, headers: &HeaderMap) {
+    let route = &file.routes[place];
+    let on = match route.listeners.is_empty() {
+        true => "all listeners".to_string(),
+        false => route.listeners.join(", "),
+    };
+    let _ = writeln!(text, "on {on}");
+    let forward = match &route.then {
+        Then::Redirect(redirect) => {
+            let _ = writeln!(text, "answered here: {}, a redirect", redirect.status);
+            return;
+        }
+        Then::Respond(respond) => {
+            let _ = writeln!(text, "answered here: {}", respond.status);
+            return;
+        }
+        Then::Forward(forward) => forward,
+    };
+    let Some(class) = file.classes.get(&route.class) else { return };
+    let keyed = headers.contains_key("idempotency-key");
+    let effect = effect_of(class.effect, route.effect, method, keyed);
+    let told = match effect {
+        Effect::Safe => "safe: it may be sent again while its time lasts",
+        Effect::Keyed => "keyed: it may be sent again within its window",
+        Effect::Unsafe => "unsafe: it is sent again only if it is known not to have run",
+    };
+    let _ = writeln!(text, "class '{}', effect {told}", route.class);
+    let of = |key: &str| format!("classes.{}.{key}", route.class);
+    let span = |span: Duration| format_duration(span).to_string();
+    setting(text, file, &of("aim"), span(class.aim));
+    setting(text, file, &of("deadline"), span(class.deadline));
+    setting(text, file, &of("worth"), class.worth);
+    if effect == Effect::Keyed {
+        setting(text, file, &of("window"), span(class.window));
+    }
+    for name in forward.split.clusters() {
+        let Some(cluster) = file.clusters.get(name) else { continue };
+        let count = cluster.endpoints.iter().filter(|e| e.weight > 0).count();
+        let _ = writeln!(text, "cluster '{name}', {count} endpoints");
+        let of = |key: &str| format!("clusters.{name}.{key}");
+        setting(text, file, &of("connect-timeout"), span(cluster.connect_timeout));
+        setting(text, file, &of("idle-timeout"), span(cluster.idle_timeout));
+        setting(text, file, &of("max-attempts"), cluster.max_attempts);
+        let statuses = format!("{:?}", cluster.failure_statuses);
+        setting(text, file, &of("failure-statuses"), statuses);
+        setting(text, file, &of("warm-up"), span(cluster.warm_up));
+        setting(text, file, &of("max-retry-after"), span(cluster.max_retry_after));
+    }
+    let limits = &file.limits;
+    setting(text, file, "limits.head-timeout", span(limits.head_timeout));
+    setting(text, file, "limits.idle-timeout", span(limits.idle_timeout));
+    setting(text, file, "limits.stream-timeout", span(limits.stream_timeout));
+    setting(text, file, "limits.memory", limits.memory);
+    setting(text, file, "limits.sockets", limits.sockets);
+}
--- a/crates/mintshelf/src/main.rs
+++ b/crates/mintshelf/src/main.rs
@@ -1,85 +1,89 @@
-//! A load-balancing sidecar: one process beside each client process.
+//! A load-balancing HTTP sidecar: one process beside each client process, or a daemon in
+//! front of any HTTP/1.1 service.
 
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
+mod admin;
+mod check;
+mod daemon;
+mod demo;
+mod explain;
+mod platform;
 
-use mintshelf_config::platform::Config;
-use mintshelf_proxy::driver::Driver;
-use mintshelf_proxy::inbound::{listen, Inbound};
-use mintshelf_proxy::limits::Limits;
-use mintshelf_proxy::peers::Peers;
+use clap::{Parser, Subcommand, ValueEnum};
+use std::future::Future;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::LocalSet;
-use tokio::time::sleep;
-use tokio_util::sync::CancellationToken;
 
-/// How long past the longest deadline a planned end takes at least: clients go
-/// on connecting for a while, and every request they send is answered.
-const STAY: Duration = Duration::from_secs(1);
-/// How often the end looks whether the last client has gone.
-const END_CHECK: Duration = Duration::from_millis(50);
+/// Exit code for a file that can't be read or a command that can't be understood.
+const UNUSABLE: u8 = 2;
 
-async fn run() -> Result<(), String> {
-    let file = std::env::var_os("RELAY_CONFIG").ok_or("environment: RELAY_CONFIG: is not set")?;
-    let file = PathBuf::from(file);
-    let config = Config::read(&file).map_err(|e| e.to_string())?;
-    let unusable = |field: &str, e: std::io::Error| format!("{}: {field}: {e}", file.display());
-    // Danger: taken before anything else, so that an early SIGTERM is not deadly.
-    let mut terminated = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
-    let mut reload = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
-    let peers = match config.peer_listen.filter(|_| config.settings.peers) {
-        None => None,
-        Some(address) => {
-            let peers = Peers::bind(address, config.peers.clone(), config.peers_all).await;
-            Some(peers.map_err(|e| unusable("peer_listen", e))?)
-        }
-    };
-    let listener = listen(config.listen).map_err(|e| unusable("listen", e))?;
-    let limits = Limits::new(&config);
-    let draining = CancellationToken::new();
-    let driver = Driver::start(&config, &limits, peers);
-    let deadlines = config.settings.classes.iter().map(|class| class.deadline);
-    let stay = Duration::from_nanos(deadlines.max().unwrap_or(0)) + STAY;
-    let Config { name, listen, settings, names, .. } = config;
-    let inbound = Inbound::new(driver.clone(), settings, names, &limits, draining.clone());
-    eprintln!("mintshelf: {name} listens on {listen}");
-    let reloads = async {
-        while reload.recv().await.is_some() {
-            match Config::read(&file) {
-                Ok(new) => {
-                    eprintln!("mintshelf: {name} reloads; discovery is {}", new.discovery);
-                    driver.move_discovery(new.discovery);
-                }
-                // What was in force stays in force.
-                Err(what) => eprintln!("mintshelf: not reloaded: {what}"),
-            }
-        }
-    };
-    let end = async {
-        terminated.recv().await;
-        draining.cancel();
-        sleep(stay).await;
-        while !inbound.is_empty() {
-            sleep(END_CHECK).await;
-        }
-    };
-    tokio::select! {
-        () = inbound.accept(listener) => {}
-        () = driver.run() => {}
-        () = reloads => {}
-        () = end => {}
-    }
-    Ok(())
+#[derive(Parser)]
+#[command(name = "mintshelf", version, about = "A load-balancing HTTP sidecar")]
+#[command(
+    after_help = "Without a command it is the platform's sidecar that RELAY_CONFIG describes."
+)]
+struct Cli {
+    #[command(subcommand)]
+    command: Option<Command>,
 }
 
-fn main() -> ExitCode {
+#[derive(Subcommand)]
+enum Command {
+    /// Serve what an operator's file describes; SIGHUP reads it again
+    Run {
+        /// The file
+        #[arg(long)]
+        config: PathBuf,
+        /// Read the file again whenever it changes
+        #[arg(long)]
+        watch: bool,
+    },
+    /// Name every error in a file; exit code 0 for none, 1 for some, 2 if it can't be read
+    Check {
+        /// The file
+        file: PathBuf,
+        /// How errors are written
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
+    /// Tell which route a request takes and why, and every time-out and limit in force
+    Explain {
+        /// The file
+        file: PathBuf,
+        /// The request's method
+        method: String,
+        /// Its URL, as in http://host/path?query
+        url: String,
+        /// A header, as in 'name: value'
+        #[arg(short = 'H', long = "header")]
+        headers: Vec<String>,
+    },
+    /// Start stand-in servers and a sidecar in front, and show what goes where
+    Demo {
+        /// End after this time; otherwise at Ctrl-C
+        #[arg(long = "for", value_parser = humantime::parse_duration)]
+        span: Option<Duration>,
+        /// Where the sidecar listens
+        #[arg(long, default_value = "127.0.0.1:8080")]
+        listen: std::net::SocketAddr,
+    },
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Format {
+    /// A line for each error
+    Text,
+    /// One JSON array
+    Json,
+}
+
+/// Runs a future that stays on this thread.
+fn block_on(future: impl Future<Output = Result<(), String>>) -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let result = runtime
         .map_err(|e| format!("runtime: {e}"))
-        .and_then(|runtime| LocalSet::new().block_on(&runtime, run()));
+        .and_then(|runtime| LocalSet::new().block_on(&runtime, future));
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
@@ -88,3 +92,15 @@
         }
     }
 }
+
+fn main() -> ExitCode {
+    match Cli::parse().command {
+        None => block_on(platform::run()),
+        Some(Command::Run { config, watch }) => block_on(daemon::run(config, watch)),
+        Some(Command::Check { file, format }) => check::run(&file, matches!(format, Format::Json)),
+        Some(Command::Explain { file, method, url, headers }) => {
+            explain::run(&file, &method, &url, &headers)
+        }
+        Some(Command::Demo { span, listen }) => block_on(demo::run(span, listen)),
+    }
+}
--- /dev/null
+++ b/crates/mintshelf/src/platform.rs
@@ -0,0 +1,100 @@
+//! The platform's sidecar: configured by `RELAY_CONFIG`, fed by discovery.
+
+use mintshelf_config::platform::Config;
+use mintshelf_proxy::clients::{Clients, Patience};
+use mintshelf_proxy::driver::{Driver, Spec};
+use mintshelf_proxy::inbound::{listen, Inbound};
+use mintshelf_proxy::limits::Limits;
+use mintshelf_proxy::peers::Peers;
+use mintshelf_proxy::platform::Platform;
+use mintshelf_proxy::upstream::{Connections, Style};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+/// A request is whole so long after its first byte.
+const RECEIVE_LIMIT: Duration = Duration::from_millis(2_500);
+/// How much longer than the longest deadline a request may hold its connection:
+/// time for its client to take the answer.
+const SEND_LIMIT: Duration = Duration::from_secs(5);
+/// An idle connection is closed after this.
+const IDLE_LIMIT: Duration = Duration::from_secs(20);
+/// How long past the longest deadline a planned end takes at least: clients go
+/// on connecting for a while, and every request they send is answered.
+const STAY: Duration = Duration::from_secs(1);
+/// How often the end looks whether the last client has gone.
+const END_CHECK: Duration = Duration::from_millis(50);
+
+/// Runs the sidecar that `RELAY_CONFIG` describes, until its planned end.
+pub async fn run() -> Result<(), String> {
+    let file = std::env::var_os("RELAY_CONFIG").ok_or("environment: RELAY_CONFIG: is not set")?;
+    let file = PathBuf::from(file);
+    let config = Config::read(&file).map_err(|e| e.to_string())?;
+    let unusable = |field: &str, e: std::io::Error| format!("{}: {field}: {e}", file.display());
+    // Danger: taken before anything else, so that an early SIGTERM is not deadly.
+    let mut terminated = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut reload = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let peers = match config.peer_listen.filter(|_| config.settings.peers) {
+        None => None,
+        Some(address) => {
+            let peers = Peers::bind(address, config.peers.clone(), config.peers_all).await;
+            Some(peers.map_err(|e| unusable("peer_listen", e))?)
+        }
+    };
+    let listener = listen(config.listen).map_err(|e| unusable("listen", e))?;
+    let limits = Limits::new(config.sockets, config.memory);
+    let draining = CancellationToken::new();
+    let deadlines = config.settings.classes.iter().map(|class| class.deadline);
+    let longest = Duration::from_nanos(deadlines.max().unwrap_or(0));
+    let stay = longest + STAY;
+    let Config { name, listen, settings, names, seed, discovery, known, .. } = config;
+    let spec = Spec {
+        settings: settings.clone(),
+        names: names.clone(),
+        seed,
+        style: Style::Platform,
+        peers,
+        discovery: Some((discovery, known)),
+    };
+    let driver = Driver::start(spec, Connections::new(&limits));
+    let patience = Patience {
+        receive: RECEIVE_LIMIT,
+        idle: IDLE_LIMIT,
+        busy: longest + SEND_LIMIT,
+        by_progress: false,
+    };
+    let front = Platform::new(driver.clone(), settings, names, &limits);
+    let clients = Rc::new(Clients::default());
+    let inbound = Inbound::new(front, clients.clone(), &limits, patience, draining.clone());
+    eprintln!("mintshelf: {name} listens on {listen}");
+    let reloads = async {
+        while reload.recv().await.is_some() {
+            match Config::read(&file) {
+                Ok(new) => {
+                    eprintln!("mintshelf: {name} reloads; discovery is {}", new.discovery);
+                    driver.move_discovery(new.discovery);
+                }
+                // What was in force stays in force.
+                Err(what) => eprintln!("mintshelf: not reloaded: {what}"),
+            }
+        }
+    };
+    let end = async {
+        terminated.recv().await;
+        draining.cancel();
+        sleep(stay).await;
+        while !clients.is_empty() {
+            sleep(END_CHECK).await;
+        }
+    };
+    tokio::select! {
+        () = inbound.accept(listener) => {}
+        () = driver.run() => {}
+        () = reloads => {}
+        () = end => {}
+    }
+    Ok(())
+}
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -1,19 +1,19 @@
 //! The decision module's surroundings: events go in here and actions come out,
 //! in order. Everything runs on one thread, so a turn is never interrupted.
 
+use crate::body::Outbound;
 use crate::clock::Clock;
 use crate::discovery::{Discovery, Fleet};
 use crate::endpoints::{Endpoints, ListSink};
-use crate::limits::Limits;
-use crate::message::{parse_report, Held};
+use crate::message::parse_report;
 use crate::peers::Peers;
 use crate::probe::Probing;
-use crate::upstream::{Answer, Ended, To, Upstream};
+use crate::upstream::{Answer, AnswerBody, Connections, Ended, Style, To, Upstream};
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::Request;
 use mintshelf_balancer::api::*;
 use mintshelf_balancer::decide::Balancer;
-use mintshelf_config::platform::Config;
+use mintshelf_config::platform::Names;
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::future::poll_fn;
@@ -37,7 +37,10 @@
     /// Trying again is harmless, after a while.
     Refused(Nanos),
     /// Nothing is promised.
-    Failed,
+    Failed {
+        /// The last attempt had no answer in time.
+        timed_out: bool,
+    },
 }
 
 /// What the decision module is told of a request.
@@ -59,9 +62,9 @@
 /// A request as it goes to servers, with what its body takes of the budget.
 pub struct Message {
     /// Its head and body.
-    pub request: Request<Held>,
-    /// The id that its client gave it.
-    pub txn: HeaderValue,
+    pub request: Request<Outbound>,
+    /// The id that its client gave it, where no two open requests may share one.
+    pub txn: Option<HeaderValue>,
     /// Given back with the last attempt.
     pub _room: Option<OwnedSemaphorePermit>,
 }
@@ -74,6 +77,9 @@
     reply: Option<oneshot::Sender<Reply>>,
     attempts: Vec<Attempt>,
     out: usize,
+    /// A server's answer that counts as a failure, passed on if nothing better comes.
+    kept: Option<Answer>,
+    timed_out: bool,
 }
 
 struct Attempt {
@@ -102,7 +108,8 @@
     /// Absent where the servers come from elsewhere.
     discovery: Option<Rc<Discovery>>,
     clock: Clock,
-    upstream: Upstream,
+    upstream: Rc<Upstream>,
+    style: Style,
     probing: Probing,
     peers: Option<Peers>,
     max_attempts: usize,
@@ -110,20 +117,38 @@
     report_fields: Option<Vec<String>>,
 }
 
+/// What a driver is started with.
+pub struct Spec {
+    /// The decision module's settings.
+    pub settings: Settings,
+    /// Names in them.
+    pub names: Names,
+    /// For random numbers.
+    pub seed: u64,
+    /// How servers' answers are read.
+    pub style: Style,
+    /// The way to other sidecars.
+    pub peers: Option<Peers>,
+    /// Where discovery answers, and the list as last held; absent where the servers come
+    /// from elsewhere.
+    pub discovery: Option<(SocketAddr, Option<String>)>,
+}
+
 impl Driver {
     /// Starts an instance of the decision module.
-    pub fn start(config: &Config, limits: &Limits, peers: Option<Peers>) -> Rc<Self> {
-        let settings = &config.settings;
+    pub fn start(spec: Spec, connections: Rc<Connections>) -> Rc<Self> {
+        let Spec { settings, names, seed, style, peers, discovery } = spec;
         let clock = Clock::start();
         let connect_timeout = Duration::from_nanos(settings.connect_timeout);
         let idle_timeout = Duration::from_nanos(settings.idle_timeout);
-        let fields = config.names.report.clone();
+        let fields = names.report.clone();
         let mode = settings.report_mode;
         let endpoints = Endpoints::default();
-        let fleet = Fleet::new(config.names.clone(), endpoints.clone());
-        let discovery = Rc::new(Discovery::new(fleet, config.discovery));
+        let (at, known) = discovery.map_or((None, None), |(at, known)| (Some(at), known));
+        let fleet = Fleet::new(names, endpoints.clone());
+        let discovery = at.map(|at| Rc::new(Discovery::new(fleet, at)));
         let mut actions = Vec::new();
-        let balancer = Balancer::new(settings.clone(), config.seed, clock.now(), &mut actions);
+        let balancer = Balancer::new(settings.clone(), seed, clock.now(), &mut actions);
         let driver = Rc::new(Driver {
             core: RefCell::new(Core {
                 balancer,
@@ -136,9 +161,10 @@
                 watch: None,
             }),
             endpoints,
-            discovery: Some(discovery.clone()),
+            discovery: discovery.clone(),
             clock,
-            upstream: Upstream::new(limits, connect_timeout, idle_timeout),
+            upstream: Upstream::new(connections, connect_timeout, idle_timeout, style.clone()),
+            style,
             probing: Probing {
                 fields: if mode == ReportMode::Absent { Vec::new() } else { fields.clone() },
                 timeout: connect_timeout,
@@ -148,13 +174,36 @@
             report_fields: (mode == ReportMode::Answers).then_some(fields),
         });
         driver.perform(&mut driver.core.borrow_mut(), actions);
-        discovery.cached(config.known.as_deref(), &driver);
-        if !settings.must_ask {
-            spawn_local(discovery.follow(driver.clone()));
+        if let Some(discovery) = discovery {
+            discovery.cached(known.as_deref(), &driver);
+            if !settings.must_ask {
+                spawn_local(discovery.follow(driver.clone()));
+            }
         }
         driver
     }
 
+    /// Takes over a complete list of servers from elsewhere than discovery.
+    pub fn list(self: &Rc<Self>, servers: Vec<(ListedServer, SocketAddr)>) {
+        self.endpoints.clear();
+        for (server, address) in &servers {
+            self.endpoints.insert(server.id, *address);
+        }
+        let servers = servers.into_iter().map(|(server, _)| server).collect();
+        self.listed(ListKind::Full, 0, servers);
+    }
+
+    /// Whether no request is open.
+    pub fn is_idle(&self) -> bool {
+        self.core.borrow().taken.is_empty()
+    }
+
+    /// How many requests are open, and timers set.
+    pub fn open(&self) -> (usize, usize) {
+        let core = self.core.borrow();
+        (core.taken.len(), core.timer_keys.len())
+    }
+
     /// Runs what goes by the clock: timers, tidying, and peers' messages.
     pub async fn run(self: &Rc<Self>) {
         const SWEEP: Duration = Duration::from_secs(1);
@@ -218,9 +267,11 @@
                     }
                 }
                 Action::Refuse { id, retry_after } => {
-                    core.conclude(&id, Reply::Refused(retry_after))
+                    drop(core.conclude(&id, Reply::Refused(retry_after)));
+                }
+                Action::Fail { id } => {
+                    drop(core.conclude(&id, Reply::Failed { timed_out: false }));
                 }
-                Action::Fail { id } => core.conclude(&id, Reply::Failed),
                 Action::SetTimer { after, token } => {
                     let key = core.timers.insert(token, Duration::from_nanos(after));
                     core.timer_keys.insert(token, key);
@@ -267,14 +318,21 @@
         let (reply, answer) = oneshot::channel();
         let id: RequestId = {
             let mut core = self.core.borrow_mut();
-            if !core.open.insert(message.txn.clone()) {
+            if message.txn.as_ref().is_some_and(|txn| !core.open.insert(txn.clone())) {
                 return None;
             }
             core.last_id += 1;
             let id: RequestId = core.last_id.to_string().into();
             let deadline = self.clock.now().saturating_add(arrival.patience);
-            let taken =
-                Taken { message, deadline, reply: Some(reply), attempts: Vec::new(), out: 0 };
+            let taken = Taken {
+                message,
+                deadline,
+                reply: Some(reply),
+                attempts: Vec::new(),
+                out: 0,
+                kept: None,
+                timed_out: false,
+            };
             core.taken.insert(id.clone(), taken);
             core.events.push_back(Event::Request {
                 id: id.clone(),
@@ -289,7 +347,7 @@
             id
         };
         let _leaving = Leaving { driver: self, id };
-        Some(answer.await.unwrap_or(Reply::Failed))
+        Some(answer.await.unwrap_or(Reply::Failed { timed_out: false }))
     }
 
     fn send(self: &Rc<Self>, core: &mut Core, id: RequestId, server: ServerId, timeout_at: Nanos) {
@@ -313,8 +371,19 @@
         }
         let to = self.to(server);
         let mut message = taken.message.request.clone();
-        let remaining = HeaderValue::from((until - now) / 1_000_000);
-        message.headers_mut().insert(REMAINING, remaining);
+        if self.style == Style::Platform {
+            let remaining = HeaderValue::from((until - now) / 1_000_000);
+            message.headers_mut().insert(REMAINING, remaining);
+        }
+        if let Outbound::Streamed(upload) = message.body() {
+            // What has gone of such a body can't be sent again: the module may not try.
+            let (driver, id) = (Rc::downgrade(self), id.clone());
+            upload.on_begin(move || {
+                if let Some(driver) = driver.upgrade() {
+                    driver.post(Event::StreamStarted { id, attempt: number });
+                }
+            });
+        }
         let until = self.clock.instant(until);
         let attempt = AttemptRun { driver: self.clone(), id, number };
         spawn_local(attempt.run(to, message, until, cancel));
@@ -326,9 +395,12 @@
         number: u32,
         outcome: Outcome,
         report: Option<Vec<f64>>,
+        headed: Option<Nanos>,
     ) {
         let mut core = self.core.borrow_mut();
-        let end = core.end_attempt(id, number, outcome, report, self.clock.now());
+        // What an attempt took is told by the head of its answer, however long the body.
+        let at = headed.unwrap_or_else(|| self.clock.now());
+        let end = core.end_attempt(id, number, outcome, report, at);
         core.events.extend(end);
         self.turn(&mut core);
     }
@@ -371,21 +443,29 @@
 }
 
 impl Core {
-    /// Gives a client its final answer.
-    fn conclude(&mut self, id: &RequestId, reply: Reply) {
-        let Some(taken) = self.taken.get_mut(id) else { return };
-        if let Some(client) = taken.reply.take() {
-            // A client that has left since needs no answer.
-            let _ = client.send(reply);
-        }
+    /// Gives a client its final answer; back comes one that nobody takes.
+    fn conclude(&mut self, id: &RequestId, reply: Reply) -> Option<Reply> {
+        let Some(taken) = self.taken.get_mut(id) else { return Some(reply) };
+        let reply = match (reply, taken.kept.take()) {
+            (Reply::Refused(_) | Reply::Failed { .. }, Some(kept)) => Reply::Served(Box::new(kept)),
+            (Reply::Failed { .. }, None) => Reply::Failed { timed_out: taken.timed_out },
+            (reply, _) => reply,
+        };
+        let undelivered = match taken.reply.take() {
+            Some(client) => client.send(reply).err(),
+            None => Some(reply),
+        };
         self.forget(id);
+        undelivered
     }
 
     /// Drops a request's record once nothing more can come of it.
     fn forget(&mut self, id: &RequestId) {
         if self.taken.get(id).is_some_and(|t| t.reply.is_none() && t.out == 0) {
             if let Some(taken) = self.taken.remove(id) {
-                self.open.remove(&taken.message.txn);
+                if let Some(txn) = &taken.message.txn {
+                    self.open.remove(txn);
+                }
             }
         }
     }
@@ -402,6 +482,7 @@
         let taken = self.taken.get_mut(id)?;
         let attempt = taken.attempts.get(number as usize)?;
         taken.out -= 1;
+        taken.timed_out = outcome == Outcome::TimedOut;
         let took = now.saturating_sub(attempt.sent);
         let server = attempt.server;
         let finished = taken.reply.is_none();
@@ -422,7 +503,7 @@
     async fn run(
         self,
         to: Option<To>,
-        message: Request<Held>,
+        message: Request<Outbound>,
         until: Instant,
         cancel: CancellationToken,
     ) {
@@ -435,10 +516,35 @@
         let Ended { outcome, report, answer } = ended;
         let fields = driver.report_fields.as_deref();
         let report = report.zip(fields).and_then(|(text, fields)| parse_report(&text, fields));
-        if let Some(answer) = answer {
-            driver.core.borrow_mut().conclude(&self.id, Reply::Served(Box::new(answer)));
+        let (id, number) = (self.id, self.number);
+        match answer {
+            // It is on its way to the client, and nothing else may be.
+            Some(Answer { status, headers, body: AnswerBody::Stream(mut stream) }) => {
+                driver.post(Event::StreamStarted { id: id.clone(), attempt: number });
+                let headed = driver.clock.now();
+                let (then, of) = (driver.clone(), id.clone());
+                stream.on_end(move |outcome| {
+                    then.attempt_ended(&of, number, outcome, None, Some(headed));
+                });
+                let answer = Answer { status, headers, body: AnswerBody::Stream(stream) };
+                let reply = Reply::Served(Box::new(answer));
+                // Danger: dropped inside, a stream that nobody takes would come back here.
+                let undelivered = driver.core.borrow_mut().conclude(&id, reply);
+                drop(undelivered);
+            }
+            // Maybe another server does better.
+            Some(answer) if matches!(outcome, Outcome::Error | Outcome::Full) => {
+                if let Some(taken) = driver.core.borrow_mut().taken.get_mut(&id) {
+                    taken.kept = Some(answer);
+                }
+                driver.attempt_ended(&id, number, outcome, report, None);
+            }
+            Some(answer) => {
+                drop(driver.core.borrow_mut().conclude(&id, Reply::Served(Box::new(answer))));
+                driver.attempt_ended(&id, number, outcome, report, None);
+            }
+            None => driver.attempt_ended(&id, number, outcome, report, None),
         }
-        driver.attempt_ended(&self.id, self.number, outcome, report);
     }
 }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -3,6 +3,8 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod body;
+pub mod clients;
 pub mod clock;
 pub mod discovery;
 pub mod driver;
@@ -11,6 +13,11 @@
 pub mod limits;
 pub mod message;
 pub mod peers;
+pub mod plain;
+pub mod platform;
 pub mod probe;
+pub mod refusal;
+pub mod scan;
 pub mod socket;
+pub mod stream;
 pub mod upstream;
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -1,7 +1,6 @@
 //! Budgets: descriptors and the bytes of bodies held.
 
 use crate::message::BODY_MAX;
-use mintshelf_config::platform::Config;
 use std::sync::Arc;
 use tokio::sync::Semaphore;
 
@@ -28,11 +27,11 @@
 }
 
 impl Limits {
-    /// Divides what the configuration allows.
-    pub fn new(config: &Config) -> Self {
-        let sockets = config.sockets.saturating_sub(OTHER_DESCRIPTORS);
+    /// Divides so many descriptors and bytes of memory.
+    pub fn new(sockets: usize, memory: usize) -> Self {
+        let sockets = sockets.saturating_sub(OTHER_DESCRIPTORS);
         let upstream = (sockets as f64 * UPSTREAM_SHARE) as usize;
-        let bodies = (config.memory as f64 * BODY_SHARE) as usize;
+        let bodies = (memory as f64 * BODY_SHARE) as usize;
         Limits {
             clients: Arc::new(Semaphore::new(sockets - upstream)),
             upstream: Arc::new(Semaphore::new(upstream)),
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{self, HeaderMap, HeaderName};
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 
 /// A whole body in memory; clones share its bytes.
 pub type Held = Full<Bytes>;
@@ -37,6 +37,26 @@
     }
 }
 
+/// The same for a message whose body goes on as it came: where there is one length it stays,
+/// for answers that tell it without a body (HEAD, 304), and so does the list of trailers.
+pub fn strip_for_next_hop(headers: &mut HeaderMap) {
+    let mut length = headers.get_all(header::CONTENT_LENGTH).iter().cloned();
+    let length = length.next().filter(|_| length.next().is_none());
+    let trailer = headers.remove(header::TRAILER);
+    let trailers = headers.get(header::TE).is_some_and(|te| te == "trailers");
+    strip_hop_by_hop(headers);
+    if let Some(length) = length {
+        headers.insert(header::CONTENT_LENGTH, length);
+    }
+    if let Some(trailer) = trailer {
+        headers.insert(header::TRAILER, trailer);
+    }
+    if trailers {
+        headers.insert(header::TE, HeaderValue::from_static("trailers"));
+        headers.insert(header::CONNECTION, HeaderValue::from_static("TE"));
+    }
+}
+
 /// Longest body of a request or an answer; both sides keep to it.
 pub const BODY_MAX: usize = 64 << 10;
 
--- /dev/null
+++ b/crates/proxy/src/plain.rs
@@ -0,0 +1,528 @@
+//! Ordinary HTTP/1.1 in front of the decision module: routes, edits, streams.
+
+use crate::body::{Outbound, Upload};
+use crate::clients::{Client, Phase};
+use crate::driver::{Arrival, Driver, Message, Reply};
+use crate::inbound::{Front, FrontBody};
+use crate::message::{strip_for_next_hop, Held, BODY_MAX};
+use crate::refusal::Refusal;
+use crate::upstream::{Answer, AnswerBody};
+use bytes::{Bytes, BytesMut};
+use hyper::body::{Body, Incoming};
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode, Uri, Version};
+use mintshelf_balancer::api::Effect;
+use mintshelf_config::model::{Edits, Forward, Forwarding, Redirect, Respond, Route, Sticky, Then};
+use mintshelf_config::module::{severity, ModuleClass};
+use mintshelf_routing::{pattern, Probe, Table};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
+
+/// How long a body waits for room among the bodies held.
+const ROOM_WAIT: Duration = Duration::from_secs(1);
+
+/// What is in force on one listener: a snapshot, swapped whole by a reload. Requests keep
+/// the one they began with.
+pub struct Serving {
+    /// Finds a route's place.
+    pub table: Table,
+    /// The routes, in the same order.
+    pub routes: Vec<Route>,
+    /// Requests that each of them took.
+    pub hits: Vec<Cell<u64>>,
+    /// The clusters by name.
+    pub clusters: HashMap<String, Rc<Pool>>,
+    /// What is told of this hop.
+    pub forwarding: Forwarding,
+}
+
+impl Serving {
+    /// Requests by the names of their routes.
+    pub fn hits(&self) -> impl Iterator<Item = (&str, u64)> {
+        let names = self.routes.iter().map(|route| route.name.as_str());
+        names.zip(self.hits.iter().map(Cell::get))
+    }
+}
+
+/// A cluster with its own instance of the decision module.
+pub struct Pool {
+    /// The instance.
+    pub driver: Rc<Driver>,
+    /// The module's classes by the file's names.
+    pub classes: BTreeMap<String, ModuleClass>,
+}
+
+/// What was done, for the figures.
+#[derive(Debug, Default)]
+pub struct Counts {
+    /// Answers by status.
+    pub statuses: RefCell<HashMap<u16, u64>>,
+    /// Requests by route, of what is no longer in force.
+    pub routes: RefCell<HashMap<String, u64>>,
+    /// Refusals of this side's own, by code.
+    pub refusals: RefCell<HashMap<&'static str, u64>>,
+}
+
+/// The general front of one listener.
+pub struct Plain {
+    serving: RefCell<Rc<Serving>>,
+    room: Arc<Semaphore>,
+    counts: Rc<Counts>,
+    last_id: Cell<u64>,
+    seed: u64,
+}
+
+impl Plain {
+    /// Serves with this; `seed` keeps the ids of two runs apart.
+    pub fn new(
+        serving: Rc<Serving>,
+        room: Arc<Semaphore>,
+        counts: Rc<Counts>,
+        seed: u64,
+    ) -> Rc<Self> {
+        let (serving, last_id) = (RefCell::new(serving), Cell::new(0));
+        Rc::new(Plain { serving, room, counts, last_id, seed })
+    }
+
+    /// Serves requests that come from now on with this.
+    pub fn swap(&self, serving: Rc<Serving>) {
+        let old = self.serving.replace(serving);
+        let mut routes = self.counts.routes.borrow_mut();
+        for (name, hits) in old.hits() {
+            *routes.entry(name.to_string()).or_default() += hits;
+        }
+    }
+
+    /// What is in force.
+    pub fn serving(&self) -> Rc<Serving> {
+        self.serving.borrow().clone()
+    }
+
+    fn next_number(&self) -> u64 {
+        self.last_id.set(self.last_id.get() + 1);
+        self.last_id.get()
+    }
+
+    /// An id for a request that brought none: 32 hexadecimal digits.
+    fn new_id(&self) -> HeaderValue {
+        let id = format!("{:016x}{:016x}", self.seed, self.next_number());
+        HeaderValue::from_str(&id).unwrap_or(HeaderValue::from_static("0"))
+    }
+}
+
+impl Front for Plain {
+    async fn respond(
+        self: Rc<Self>,
+        client: Rc<Client>,
+        request: Request<Incoming>,
+        draining: bool,
+    ) -> Response<FrontBody> {
+        let serving = self.serving.borrow().clone();
+        let bare = request.method() == Method::HEAD;
+        let answered = self.answer(&serving, &client, request).await;
+        let mut response = answered.unwrap_or_else(|refusal| {
+            let mut refusals = self.counts.refusals.borrow_mut();
+            *refusals.entry(refusal.code).or_default() += 1;
+            refusal.response(bare)
+        });
+        if draining {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        *self.counts.statuses.borrow_mut().entry(response.status().as_u16()).or_default() += 1;
+        response
+    }
+}
+
+impl Plain {
+    async fn answer(
+        &self,
+        serving: &Serving,
+        client: &Client,
+        request: Request<Incoming>,
+    ) -> Result<Response<FrontBody>, Refusal> {
+        let seen = client.scan.borrow_mut().next_head();
+        if let Some(why) = seen.doubtful {
+            return Err(Refusal::new(StatusCode::BAD_REQUEST, "doubtful-framing", why).last());
+        }
+        let host = authority(&request)?;
+        let path = request.uri().path_and_query().map_or("/", |path| path.as_str()).to_string();
+        let bad = |code, what| Refusal::new(StatusCode::BAD_REQUEST, code, what);
+        if request.method() == Method::CONNECT {
+            let what = "this is no tunnel";
+            return Err(Refusal::new(StatusCode::NOT_IMPLEMENTED, "no-tunnel", what).last());
+        }
+        if pattern::has_dot_segments(path.split('?').next().unwrap_or("/")) {
+            return Err(bad("climbing-path", "the path holds an element '.' or '..'"));
+        }
+        let expect = request.headers().get(header::EXPECT);
+        if expect.is_some_and(|e| !e.as_bytes().eq_ignore_ascii_case(b"100-continue")) {
+            let what = "only 100-continue can be expected";
+            return Err(Refusal::new(StatusCode::EXPECTATION_FAILED, "expectation", what));
+        }
+        let probe = Probe::new(&host, &path, request.method(), request.headers());
+        let Some(place) = serving.table.find(&probe) else {
+            let what = "no route takes this request";
+            return Err(Refusal::new(StatusCode::NOT_FOUND, "no-route", what));
+        };
+        let route = &serving.routes[place];
+        let key = match &route.then {
+            Then::Forward(forward) => sticky_key(forward.sticky.as_ref(), &probe, client),
+            _ => None,
+        };
+        serving.hits[place].set(serving.hits[place].get() + 1);
+        match &route.then {
+            Then::Forward(forward) => {
+                let key = key.unwrap_or_else(|| self.next_number().to_le_bytes().to_vec());
+                let to = Way { serving, route, forward, key, host, path };
+                self.forward(to, client, request).await
+            }
+            Then::Redirect(redirect) => redirected(redirect, route, &host, &path),
+            Then::Respond(respond) => Ok(responded(respond)),
+        }
+    }
+
+    async fn forward(
+        &self,
+        way: Way<'_>,
+        client: &Client,
+        request: Request<Incoming>,
+    ) -> Result<Response<FrontBody>, Refusal> {
+        let Way { serving, route, forward, key, host, path } = way;
+        let pool = serving.clusters.get(forward.split.pick(&key));
+        let gone = || {
+            let what = "the route's cluster is not there";
+            Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no-cluster", what)
+        };
+        let pool = pool.ok_or_else(gone)?;
+        let class = pool.classes.get(&route.class).ok_or_else(gone)?;
+        let keyed = request.headers().contains_key("idempotency-key");
+        let effect = effect_of(class.effect, route.effect, request.method(), keyed);
+        let (number, patience) = (class.numbers[severity(effect)], class.deadline);
+        let class = number.ok_or_else(gone)?;
+        let (mut head, body) = request.into_parts();
+        strip_for_next_hop(&mut head.headers);
+        self.mark(&serving.forwarding, &mut head.headers, client, &host);
+        edit(&mut head.headers, &forward.request);
+        let target = rewritten(forward.rewrite_prefix.as_deref(), route, &path);
+        let bad = |what| Refusal::new(StatusCode::BAD_REQUEST, "target", what);
+        head.uri = target.parse::<Uri>().map_err(|_| bad("the target can't be written"))?;
+        head.version = Version::HTTP_11;
+        if !head.headers.contains_key(header::HOST) {
+            let host = HeaderValue::from_str(&host).map_err(|_| bad("the host is no host"))?;
+            head.headers.insert(header::HOST, host);
+        }
+        let (body, room) = self.body(client, body).await?;
+        client.enter(Phase::Busy);
+        let arrival =
+            Arrival { class, tenant: 0, key: None, cost_hint: None, repeat: false, patience };
+        let request = Request::from_parts(head, body);
+        let message = Message { request, txn: None, _room: room };
+        match pool.driver.serve(arrival, message).await {
+            Some(Reply::Served(answer)) => Ok(self.passed(serving, forward, *answer)),
+            Some(Reply::Refused(after)) => {
+                let what = "no server can take it now; it has not run";
+                let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "overloaded", what);
+                Err(refusal.after(after))
+            }
+            Some(Reply::Failed { timed_out: true }) => {
+                let what = "no server answered in time; it may have run";
+                Err(Refusal::new(StatusCode::GATEWAY_TIMEOUT, "upstream-timeout", what))
+            }
+            Some(Reply::Failed { timed_out: false }) | None => {
+                let what = "the server broke off; it may have run";
+                Err(Refusal::new(StatusCode::BAD_GATEWAY, "upstream-failed", what))
+            }
+        }
+    }
+
+    /// A server's answer as it goes to the client.
+    fn passed(&self, serving: &Serving, forward: &Forward, answer: Answer) -> Response<FrontBody> {
+        let Answer { status, mut headers, body } = answer;
+        strip_for_next_hop(&mut headers);
+        if let Some(via) = &serving.forwarding.via {
+            append_via(&mut headers, via);
+        }
+        edit(&mut headers, &forward.response);
+        let body = match body {
+            AnswerBody::Whole(body) => FrontBody::whole(body),
+            AnswerBody::Stream(stream) => FrontBody::Stream(stream),
+        };
+        let mut response = Response::new(body);
+        (*response.status_mut(), *response.headers_mut()) = (status, headers);
+        response
+    }
+
+    /// Tells of this hop.
+    fn mark(&self, on: &Forwarding, headers: &mut HeaderMap, client: &Client, host: &str) {
+        if let Some(via) = &on.via {
+            append_via(headers, via);
+        }
+        if on.forwarded {
+            let ip = match client.peer.ip() {
+                std::net::IpAddr::V4(ip) => ip.to_string(),
+                std::net::IpAddr::V6(ip) => format!("\"[{ip}]\""),
+            };
+            let hop = format!("for={ip};host=\"{host}\";proto=http");
+            append(headers, header::FORWARDED, &hop);
+        }
+        if let Some(name) = on.request_id.as_ref().filter(|name| !headers.contains_key(*name)) {
+            headers.insert(name, self.new_id());
+        }
+    }
+
+    /// Takes what has come of a body: whole if it is short and there, else as it comes.
+    async fn body(
+        &self,
+        client: &Client,
+        mut body: Incoming,
+    ) -> Result<(Outbound, Option<OwnedSemaphorePermit>), Refusal> {
+        if body.is_end_stream() {
+            return Ok((Outbound::default(), None));
+        }
+        let short = body.size_hint().exact().is_some_and(|size| size <= BODY_MAX as u64);
+        let want = if short { body.size_hint().lower() as usize } else { BODY_MAX };
+        let room = self.room.clone().acquire_many_owned(want.max(1) as u32);
+        let Ok(Ok(room)) = timeout(ROOM_WAIT, room).await else {
+            let what = "there is no room for its body now; it has not run";
+            let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no-room", what);
+            return Err(refusal.after(1_000_000_000).last());
+        };
+        client.enter(Phase::Busy);
+        let (mut held, mut over) = (BytesMut::new(), false);
+        while !over && held.len() < want.max(1) {
+            let next = poll_fn(|cx| Pin::new(&mut body).poll_frame(cx));
+            let frame = if short { Some(next.await) } else { ready_now(next).await };
+            match frame {
+                None => break,
+                Some(None) => over = true,
+                Some(Some(Ok(frame))) => {
+                    held.extend_from_slice(&frame.into_data().unwrap_or_default())
+                }
+                Some(Some(Err(_))) => {
+                    let what = "the body can't be read";
+                    return Err(Refusal::new(StatusCode::BAD_REQUEST, "body", what).last());
+                }
+            }
+        }
+        let held = held.freeze();
+        let outbound = match short || over {
+            true => Outbound::Held(Held::new(held)),
+            false => Outbound::Streamed(Upload::new(held, body)),
+        };
+        Ok((outbound, Some(room)))
+    }
+}
+
+/// What a request's way to a server is made of.
+struct Way<'a> {
+    serving: &'a Serving,
+    route: &'a Route,
+    forward: &'a Forward,
+    key: Vec<u8>,
+    host: String,
+    path: String,
+}
+
+/// What a future gives without waiting.
+async fn ready_now<T>(future: impl std::future::Future<Output = T>) -> Option<T> {
+    tokio::select! {
+        biased;
+        value = future => Some(value),
+        () = std::future::ready(()) => None,
+    }
+}
+
+/// The effect of a request: what its route states, else the graver of its class's and its
+/// method's (RFC 9110 9.2.1). A keyed one needs its key (`keyed`). It is never taken for
+/// milder than it is: only the client of a PUT or DELETE knows what came between.
+pub fn effect_of(class: Effect, route: Option<Effect>, method: &Method, keyed: bool) -> Effect {
+    let effect = match (route, class) {
+        (Some(effect), _) => effect,
+        (None, Effect::Safe) if !method.is_safe() => Effect::Unsafe,
+        (None, effect) => effect,
+    };
+    match effect {
+        Effect::Keyed if !keyed => Effect::Unsafe,
+        effect => effect,
+    }
+}
+
+/// The host that a request is for: that of its target, else that of its one Host header
+/// (RFC 9112 3.2). Danger: where they differ, servers choose differently.
+fn authority(request: &Request<Incoming>) -> Result<String, Refusal> {
+    let bad = |what| Refusal::new(StatusCode::BAD_REQUEST, "host", what).last();
+    let mut hosts = request.headers().get_all(header::HOST).iter();
+    let (first, second) = (hosts.next(), hosts.next());
+    if second.is_some() {
+        return Err(bad("there are several Host headers"));
+    }
+    let text = first.map(|host| host.to_str().map_err(|_| bad("Host is no host"))).transpose()?;
+    let named = request.uri().authority().map(|authority| authority.as_str());
+    let host = match (named, text) {
+        (Some(named), Some(text)) if !named.eq_ignore_ascii_case(text) => {
+            return Err(bad("the target and Host name different hosts"));
+        }
+        (Some(named), _) => named,
+        (None, Some(text)) => text,
+        (None, None) if request.version() == Version::HTTP_11 => {
+            return Err(bad("Host is missing"));
+        }
+        (None, None) => "",
+    };
+    let odd = |c: char| !c.is_ascii_graphic() || "/?#@\\,\"<>".contains(c);
+    if host.contains(odd) {
+        return Err(bad("Host is no host"));
+    }
+    Ok(host.to_string())
+}
+
+fn sticky_key(sticky: Option<&Sticky>, probe: &Probe, client: &Client) -> Option<Vec<u8>> {
+    match sticky? {
+        Sticky::Client => Some(client.peer.ip().to_string().into_bytes()),
+        Sticky::Header(name) => probe.headers.get(name).map(|v| v.as_bytes().to_vec()),
+        Sticky::Query(name) => probe.parameters(name).next().map(|v| v.as_bytes().to_vec()),
+        Sticky::Cookie(name) => {
+            let cookies = probe.headers.get_all(header::COOKIE).iter();
+            let mut pairs = cookies.filter_map(|c| c.to_str().ok()).flat_map(|c| c.split(';'));
+            pairs.find_map(|pair| {
+                let (key, value) = pair.trim().split_once('=')?;
+                (key == name).then(|| value.as_bytes().to_vec())
+            })
+        }
+    }
+}
+
+fn edit(headers: &mut HeaderMap, edits: &Edits) {
+    for name in &edits.remove {
+        headers.remove(name);
+    }
+    for (name, value) in &edits.set {
+        headers.insert(name, value.clone());
+    }
+    for (name, value) in &edits.add {
+        headers.append(name, value.clone());
+    }
+}
+
+/// Adds to a list in a header.
+fn append(headers: &mut HeaderMap, name: HeaderName, member: &str) {
+    if let Ok(value) = HeaderValue::from_str(member) {
+        headers.append(name, value);
+    }
+}
+
+fn append_via(headers: &mut HeaderMap, via: &str) {
+    append(headers, header::VIA, &format!("1.1 {via}"));
+}
+
+/// A target with the route's prefix replaced.
+fn rewritten(with: Option<&str>, route: &Route, path_and_query: &str) -> String {
+    let (path, query) = match path_and_query.find('?') {
+        Some(at) => path_and_query.split_at(at),
+        None => (path_and_query, ""),
+    };
+    let mintshelf_routing::PathMatch::Prefix(prefix) = &route.rule.path else {
+        return path_and_query.to_string();
+    };
+    let rest = with.and_then(|with| Some((with, pattern::after_prefix(prefix, path)?)));
+    let Some((with, rest)) = rest else { return path_and_query.to_string() };
+    let path = format!("{}{rest}", with.trim_end_matches('/'));
+    format!("{}{query}", if path.is_empty() { "/" } else { &path })
+}
+
+fn redirected(
+    to: &Redirect,
+    route: &Route,
+    host: &str,
+    path: &str,
+) -> Result<Response<FrontBody>, Refusal> {
+    let scheme = to.scheme.as_deref().unwrap_or("http");
+    let host = to.host.as_deref().unwrap_or(host);
+    let target = match &to.path {
+        Some(whole) => whole.clone(),
+        None => rewritten(to.prefix.as_deref(), route, path),
+    };
+    let location = HeaderValue::from_str(&format!("{scheme}://{host}{target}"));
+    let bad = |_| Refusal::new(StatusCode::BAD_REQUEST, "target", "the target can't be written");
+    let location = location.map_err(bad)?;
+    let mut response = Response::new(FrontBody::whole(Bytes::new()));
+    *response.status_mut() = to.status;
+    response.headers_mut().insert(header::LOCATION, location);
+    Ok(response)
+}
+
+fn responded(respond: &Respond) -> Response<FrontBody> {
+    let body = Bytes::copy_from_slice(respond.body.as_bytes());
+    let mut response = Response::new(FrontBody::whole(body));
+    *response.status_mut() = respond.status;
+    if !respond.body.is_empty() {
+        let kind = respond.content_type.clone();
+        response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    }
+    response
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use Effect::{Keyed, Safe, Unsafe};
+
+    #[test]
+    fn no_effect_is_taken_for_milder_than_it_is() {
+        let of = |class, method: &Method, keyed| effect_of(class, None, method, keyed);
+        for (class, method, keyed, effect) in [
+            (Safe, Method::GET, false, Safe),
+            (Safe, Method::HEAD, false, Safe),
+            (Safe, Method::POST, true, Unsafe),
+            (Safe, Method::PUT, false, Unsafe),
+            (Safe, Method::DELETE, false, Unsafe),
+            (Safe, Method::from_bytes(b"PURGE").unwrap(), false, Unsafe),
+            (Keyed, Method::POST, true, Keyed),
+            (Keyed, Method::POST, false, Unsafe),
+            (Keyed, Method::GET, false, Unsafe),
+            (Unsafe, Method::GET, true, Unsafe),
+        ] {
+            assert_eq!(of(class, &method, keyed), effect, "{class:?} {method} {keyed}");
+        }
+        // The operator knows that this POST asks and changes nothing.
+        assert_eq!(effect_of(Unsafe, Some(Safe), &Method::POST, false), Safe);
+        assert_eq!(effect_of(Safe, Some(Keyed), &Method::POST, false), Unsafe);
+    }
+
+    #[test]
+    fn prefixes_are_replaced_by_whole_elements() {
+        let route = |prefix: &str| Route {
+            name: String::new(),
+            line: 0,
+            listeners: Vec::new(),
+            rule: Arc::new(mintshelf_routing::Rule {
+                path: mintshelf_routing::PathMatch::Prefix(prefix.into()),
+                ..Default::default()
+            }),
+            class: String::new(),
+            effect: None,
+            then: Then::Respond(Respond {
+                status: StatusCode::OK,
+                body: String::new(),
+                content_type: HeaderValue::from_static("a/b"),
+            }),
+        };
+        for (prefix, with, path, out) in [
+            ("/a", Some("/b"), "/a/c?d=/a", "/b/c?d=/a"),
+            ("/a", Some("/"), "/a?x", "/?x"),
+            ("/a/", Some("/b/"), "/a/c", "/b/c"),
+            ("/", Some("/b"), "/c", "/b/c"),
+            ("/a", None, "/a/c", "/a/c"),
+        ] {
+            assert_eq!(rewritten(with, &route(prefix), path), out, "{prefix} {path}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/platform.rs
@@ -0,0 +1,211 @@
+//! The platform's protocol in front of the decision module.
+
+use crate::body::Outbound;
+use crate::clients::{Client, Phase};
+use crate::driver::{Arrival, Driver, Message, Reply};
+use crate::inbound::{Front, FrontBody};
+use crate::limits::Limits;
+use crate::message::{strip_hop_by_hop, text, Held, BODY_MAX};
+use bytes::{Bytes, BytesMut};
+use hyper::body::{Body, Incoming};
+use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use mintshelf_balancer::api::{Nanos, Settings};
+use mintshelf_config::platform::Names;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
+
+/// Header with the id that a client gives a request.
+const TXN: &str = "x-txn";
+/// How long a body waits for room among the bodies held. Its sender is held
+/// back meanwhile, and the client's time has not begun.
+const ROOM_WAIT: Duration = Duration::from_secs(1);
+
+/// Requests as the platform's application sends them.
+pub struct Platform {
+    driver: Rc<Driver>,
+    settings: Settings,
+    names: Names,
+    room: Arc<Semaphore>,
+}
+
+impl Platform {
+    /// In front of a driver.
+    pub fn new(driver: Rc<Driver>, settings: Settings, names: Names, limits: &Limits) -> Rc<Self> {
+        Rc::new(Platform { driver, settings, names, room: limits.bodies.clone() })
+    }
+}
+
+impl Front for Platform {
+    async fn respond(
+        self: Rc<Self>,
+        client: Rc<Client>,
+        request: Request<Incoming>,
+        draining: bool,
+    ) -> Response<FrontBody> {
+        let mut last = draining;
+        let mut headers = HeaderMap::new();
+        let (status, body) = if request.uri().path() == "/-/ready" {
+            match draining {
+                false => (StatusCode::OK, Bytes::from_static(b"ready\n")),
+                true => (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"draining\n")),
+            }
+        } else {
+            match self.take(&client, request).await {
+                Ok(Reply::Served(answer)) => {
+                    headers = answer.headers;
+                    strip_hop_by_hop(&mut headers);
+                    (StatusCode::OK, answer.body.whole())
+                }
+                Ok(Reply::Refused(after)) => {
+                    let seconds = HeaderValue::from_str(&format!("{:.3}", after as f64 / 1e9));
+                    if let Some(seconds) = seconds.ok().filter(|_| after > 0) {
+                        headers.insert(header::RETRY_AFTER, seconds);
+                    }
+                    (StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"refused\n"))
+                }
+                Ok(Reply::Failed { .. }) => {
+                    (StatusCode::BAD_GATEWAY, Bytes::from_static(b"failed\n"))
+                }
+                Err(unfit) => {
+                    // What comes behind such a request cannot be trusted either.
+                    last = true;
+                    (unfit.status, Bytes::from_static(unfit.what.as_bytes()))
+                }
+            }
+        };
+        let mut response = Response::new(FrontBody::whole(body));
+        (*response.status_mut(), *response.headers_mut()) = (status, headers);
+        if last {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
+
+impl Platform {
+    /// Reads a request whole and gets it its final answer.
+    async fn take(
+        self: &Rc<Self>,
+        client: &Client,
+        request: Request<Incoming>,
+    ) -> Result<Reply, Unfit> {
+        let bad = |what| Unfit::new(StatusCode::BAD_REQUEST, what);
+        let (mut head, mut body) = request.into_parts();
+        if client.scan.borrow_mut().next_head().framed_twice() {
+            return Err(bad("Content-Length and Transfer-Encoding\n"));
+        }
+        let arrival = self.arrival(&head.headers)?;
+        let txn = head.headers.get(TXN).cloned().ok_or(bad("X-Txn is missing\n"))?;
+        let (body, room) = self.hold(&mut body).await?;
+        client.enter(Phase::Busy);
+        strip_hop_by_hop(&mut head.headers);
+        head.version = hyper::Version::HTTP_11;
+        let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+        head.uri = path.parse().map_err(|_| bad("path\n"))?;
+        let request = Request::from_parts(head, Outbound::Held(body));
+        let reply =
+            self.driver.serve(arrival, Message { request, txn: Some(txn), _room: room }).await;
+        reply.ok_or(Unfit::new(StatusCode::CONFLICT, "X-Txn is that of an open request\n"))
+    }
+
+    /// Reads what the module is told of a request.
+    fn arrival(&self, headers: &HeaderMap) -> Result<Arrival, Unfit> {
+        let bad = |what| Unfit::new(StatusCode::BAD_REQUEST, what);
+        let number_of = |header: &str, of: &[String]| {
+            text(headers, header).and_then(|name| of.iter().position(|n| n == name))
+        };
+        if text(headers, TXN).is_none_or(str::is_empty) {
+            return Err(bad("X-Txn is missing\n"));
+        }
+        let class =
+            number_of("x-lane", &self.names.classes).ok_or(bad("X-Lane is not a class\n"))?;
+        let tenant = match number_of("x-org", &self.names.tenants) {
+            Some(tenant) => tenant,
+            None if self.names.tenants.is_empty() => 0,
+            None => return Err(bad("X-Org is not a tenant\n")),
+        };
+        let deadline = self.settings.classes[class].deadline;
+        let patience = match figure::<u64>(headers, "x-remaining-ms") {
+            Ok(left) => left.map_or(deadline, |ms| ms.saturating_mul(1_000_000).min(deadline)),
+            Err(()) => return Err(bad("X-Remaining-Ms is not a number\n")),
+        };
+        let cost_hint = figure::<f64>(headers, "x-estimate")
+            .map_err(|()| bad("X-Estimate is not a number\n"))?
+            .map(|micros| (micros * 1e3) as Nanos);
+        let labels = text(headers, "x-labels").unwrap_or_default();
+        let mut labels = labels.split(',').filter(|label| !label.trim().is_empty());
+        if !labels.all(|label| {
+            label.split_once('=').is_some_and(|(_, value)| value.trim().parse::<f64>().is_ok())
+        }) {
+            return Err(bad("X-Labels are not figures\n"));
+        }
+        let cookies = headers.get_all(header::COOKIE).iter().filter_map(|c| c.to_str().ok());
+        let mut pairs = cookies.flat_map(|cookie| cookie.split(';'));
+        let key = pairs.find_map(|pair| pair.trim().strip_prefix("obj="));
+        Ok(Arrival {
+            class: class as u32,
+            tenant: tenant as u32,
+            key: key.and_then(|key| u64::from_str_radix(key, 16).ok()),
+            cost_hint: cost_hint.filter(|cost| *cost > 0),
+            repeat: text(headers, "x-resent") == Some("1"),
+            patience,
+        })
+    }
+
+    /// Reads a body, as far as there is room for it among those held.
+    async fn hold(
+        &self,
+        body: &mut Incoming,
+    ) -> Result<(Held, Option<OwnedSemaphorePermit>), Unfit> {
+        let too_long = Unfit::new(StatusCode::PAYLOAD_TOO_LARGE, "body is too long\n");
+        if body.size_hint().lower() > BODY_MAX as u64 {
+            return Err(too_long);
+        }
+        let (mut held, mut room) = (BytesMut::new(), None::<OwnedSemaphorePermit>);
+        while let Some(frame) = poll_fn(|cx| Pin::new(&mut *body).poll_frame(cx)).await {
+            let frame = frame.map_err(|_| Unfit::new(StatusCode::BAD_REQUEST, "body\n"))?;
+            let Ok(data) = frame.into_data() else { continue };
+            if held.len() + data.len() > BODY_MAX {
+                return Err(too_long);
+            }
+            let more = self.room.clone().acquire_many_owned(data.len() as u32);
+            let Ok(Ok(more)) = timeout(ROOM_WAIT, more).await else {
+                // Nothing has been sent for it: the client may try again.
+                return Err(Unfit::new(StatusCode::SERVICE_UNAVAILABLE, "no room\n"));
+            };
+            match &mut room {
+                Some(room) => room.merge(more),
+                None => room = Some(more),
+            }
+            held.extend_from_slice(&data);
+        }
+        Ok((Held::new(held.freeze()), room))
+    }
+}
+
+/// Reads a header that holds a number, if it is there.
+fn figure<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Result<Option<T>, ()> {
+    match headers.get(name) {
+        None => Ok(None),
+        Some(_) => text(headers, name).and_then(|v| v.parse().ok()).map(Some).ok_or(()),
+    }
+}
+
+/// Why a request goes no further.
+#[derive(Debug)]
+struct Unfit {
+    status: StatusCode,
+    what: &'static str,
+}
+
+impl Unfit {
+    fn new(status: StatusCode, what: &'static str) -> Self {
+        Unfit { status, what }
+    }
+}
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -1,6 +1,7 @@
 //! Probes: whether a server is healthy, and how loaded.
 
-use crate::message::{parse_report, Held};
+use crate::body::Outbound;
+use crate::message::parse_report;
 use crate::upstream::{To, Upstream};
 use hyper::{header, Request, StatusCode};
 use mintshelf_balancer::api::Outcome;
@@ -20,7 +21,7 @@
     /// Probes a server; the outcome and its load report.
     pub async fn run(&self, upstream: &Upstream, to: To) -> (Outcome, Option<Vec<f64>>) {
         let path = if self.fields.is_empty() { "/-/healthy" } else { "/-/load" };
-        let mut request = Request::new(Held::default());
+        let mut request = Request::new(Outbound::default());
         *request.uri_mut() = hyper::Uri::from_static(path);
         if let Ok(host) = to.address.to_string().parse() {
             request.headers_mut().insert(header::HOST, host);
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -1,12 +1,14 @@
 //! Connections to servers, and one exchange on one connection.
 
+use crate::body::Outbound;
 use crate::limits::Limits;
-use crate::message::{text, Held, BODY_MAX};
+use crate::message::{text, BODY_MAX};
 use crate::socket::{pending, Pending, Socket, Watcher};
+use crate::stream::ServerStream;
 use bytes::{Bytes, BytesMut};
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
-use hyper::header::{self, HeaderMap};
+use hyper::header::{self, HeaderMap, HeaderName};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use mintshelf_balancer::api::{Outcome, ServerId};
@@ -35,6 +37,8 @@
 /// Part of the servers' idle limit after which a connection is closed from this
 /// side, so that a request does not cross the server's close.
 const IDLE_SHARE: f64 = 0.8;
+/// How long the rest of a short answer is waited for before it is passed on as it comes.
+const SHORT_WAIT: Duration = Duration::from_millis(100);
 /// Longest body of a load report, or of an answer that is not 200.
 const SMALL_MAX: usize = 4 << 10;
 /// Header that marks an answer which the server never ran the request for.
@@ -92,7 +96,7 @@
     }
 }
 
-type Driven = Connection<TokioIo<Socket<Meter>>, Held>;
+type Driven = Connection<TokioIo<Socket<Meter>>, Outbound>;
 
 /// A server and where it listens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -105,20 +109,28 @@
 
 /// One connection. It is driven by whoever uses it, so that dropping it closes
 /// the socket then and there: no copy of a request outlives its attempt.
-struct Link {
-    send: SendRequest<Held>,
+pub(crate) struct Link {
+    send: SendRequest<Outbound>,
     driven: Option<Pin<Box<Driven>>>,
     stream: Rc<TcpStream>,
     meter: Rc<Meter>,
     to: To,
+    /// Its place among the idle ones.
+    key: (u32, ServerId),
     rested: Instant,
+    idle_max: Duration,
     _permit: OwnedSemaphorePermit,
 }
 
 impl Link {
     /// Sends a request and waits for the head of its answer.
-    async fn ask(&mut self, request: Request<Held>) -> Result<Response<Incoming>, Outcome> {
-        self.meter.expect(request.body().size_hint().lower());
+    async fn ask(
+        &mut self,
+        request: Request<Outbound>,
+        runs_early: bool,
+    ) -> Result<Response<Incoming>, Outcome> {
+        let body = if runs_early { 0 } else { request.body().size_hint().lower() };
+        self.meter.expect(body);
         let mut response = pin!(self.send.send_request(request));
         let (driven, meter) = (&mut self.driven, &self.meter);
         let answered = poll_fn(|cx| {
@@ -164,9 +176,15 @@
             && matches!(self.send.poll_ready(cx), Poll::Ready(Ok(())))
     }
 
+    /// Lets the library work on the connection.
+    pub(crate) fn drive(&mut self, cx: &mut Context<'_>) {
+        drive(&mut self.driven, cx);
+    }
+
     /// Danger: an idle connection may have been closed, or reset, unheard.
     fn alive(&self) -> bool {
-        self.driven.is_some() && pending(&self.stream) == Pending::Nothing
+        let rested = self.rested.elapsed() < self.idle_max;
+        self.driven.is_some() && rested && pending(&self.stream) == Pending::Nothing
     }
 }
 
@@ -205,54 +223,126 @@
     }
 }
 
-/// A server's answer, whole.
+/// A server's answer.
 pub struct Answer {
+    /// Its status.
+    pub status: StatusCode,
     /// Its headers.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: AnswerBody,
 }
 
-/// All connections to servers.
-pub struct Upstream {
+/// The body of an answer.
+pub enum AnswerBody {
+    /// All of it.
+    Whole(Bytes),
+    /// As it comes.
+    Stream(Box<ServerStream>),
+}
+
+impl AnswerBody {
+    /// A body that came whole; empty for one that is still coming.
+    pub fn whole(self) -> Bytes {
+        match self {
+            AnswerBody::Whole(body) => body,
+            AnswerBody::Stream(_) => Bytes::new(),
+        }
+    }
+}
+
+/// How the answers of a cluster's servers are read.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Style {
+    /// As the platform's protocol has it: 200 or nothing, short and whole.
+    Platform,
+    /// Any HTTP/1.1 service.
+    Plain {
+        /// Statuses that count as a failure of the endpoint.
+        failures: Vec<u16>,
+        /// A header by which a server says that it never ran the request, with the value 1.
+        never_ran: Option<HeaderName>,
+        /// A body that stops for so long, either way, is given up.
+        stall: Duration,
+    },
+}
+
+/// All connections to servers, of all clusters: they share one budget.
+pub struct Connections {
     /// Danger: kept by server, not by address, or one that takes over the address
     /// of another would be sent requests on connections to the dead one.
-    idle: RefCell<HashMap<ServerId, VecDeque<Link>>>,
+    idle: RefCell<HashMap<(u32, ServerId), VecDeque<Link>>>,
     budget: Arc<Semaphore>,
+    last_pool: Cell<u32>,
+}
+
+impl Connections {
+    /// No connections yet.
+    pub fn new(limits: &Limits) -> Rc<Self> {
+        let (idle, budget) = (RefCell::default(), limits.upstream.clone());
+        Rc::new(Connections { idle, budget, last_pool: Cell::new(0) })
+    }
+
+    /// Closes the idle connection that has rested longest.
+    fn close_oldest(&self) {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.values_mut().filter(|links| !links.is_empty());
+        if let Some(links) = oldest.min_by_key(|links| links[0].rested) {
+            links.pop_front();
+        }
+    }
+}
+
+/// The connections to one cluster's servers.
+pub struct Upstream {
+    all: Rc<Connections>,
+    pool: u32,
     connect_timeout: Duration,
     idle_max: Duration,
+    style: Style,
+}
+
+impl Drop for Upstream {
+    fn drop(&mut self) {
+        self.all.idle.borrow_mut().retain(|(pool, _), _| *pool != self.pool);
+    }
 }
 
 impl Upstream {
     /// No connections yet.
-    pub fn new(limits: &Limits, connect_timeout: Duration, idle_timeout: Duration) -> Self {
-        Upstream {
-            idle: RefCell::default(),
-            budget: limits.upstream.clone(),
-            connect_timeout,
-            idle_max: idle_timeout.mul_f64(IDLE_SHARE),
-        }
+    pub fn new(
+        all: Rc<Connections>,
+        connect_timeout: Duration,
+        idle_timeout: Duration,
+        style: Style,
+    ) -> Rc<Self> {
+        let pool = all.last_pool.get() + 1;
+        all.last_pool.set(pool);
+        let idle_max = idle_timeout.mul_f64(IDLE_SHARE);
+        Rc::new(Upstream { all, pool, connect_timeout, idle_max, style })
     }
 
     /// Closes the idle connections to a server.
     pub fn close_idle(&self, server: ServerId) {
-        self.idle.borrow_mut().remove(&server);
+        self.all.idle.borrow_mut().remove(&(self.pool, server));
     }
 
     /// Closes idle connections that have ended or stood for long.
     pub fn sweep(&self) {
-        self.idle.borrow_mut().retain(|_, links| {
-            links.retain(|link| link.alive() && link.rested.elapsed() < self.idle_max);
+        self.all.idle.borrow_mut().retain(|(pool, _), links| {
+            if *pool == self.pool {
+                links.retain(Link::alive);
+            }
             !links.is_empty()
         });
     }
 
     fn take_idle(&self, to: To) -> Option<Link> {
-        let mut idle = self.idle.borrow_mut();
-        let links = idle.get_mut(&to.server)?;
+        let mut idle = self.all.idle.borrow_mut();
+        let links = idle.get_mut(&(self.pool, to.server))?;
         // The one used last: the others get to rest until they are closed.
         while let Some(link) = links.pop_back() {
-            if link.to == to && link.alive() && link.rested.elapsed() < self.idle_max {
+            if link.to == to && link.alive() {
                 return Some(link);
             }
         }
@@ -269,26 +359,17 @@
 
     fn keep(&self, mut link: Link) {
         link.rested = Instant::now();
-        self.idle.borrow_mut().entry(link.to.server).or_default().push_back(link);
-    }
-
-    /// Closes the idle connection that has rested longest.
-    fn close_oldest(&self) {
-        let mut idle = self.idle.borrow_mut();
-        let oldest = idle.values_mut().filter(|links| !links.is_empty());
-        if let Some(links) = oldest.min_by_key(|links| links[0].rested) {
-            links.pop_front();
-        }
+        self.all.idle.borrow_mut().entry(link.key).or_default().push_back(link);
     }
 
     async fn connect(&self, to: To) -> Result<Link, Outcome> {
-        if self.budget.available_permits() == 0 {
-            self.close_oldest();
+        if self.all.budget.available_permits() == 0 {
+            self.all.close_oldest();
         }
         // Danger: out of descriptors of its own, this side must not blame the server.
         // Nor may it wait so long that what was decided of the server is out of date.
         let until = Instant::now() + self.connect_timeout;
-        let permit = timeout_at(until, self.budget.clone().acquire_owned()).await;
+        let permit = timeout_at(until, self.all.budget.clone().acquire_owned()).await;
         let Ok(Ok(permit)) = permit else { return Err(Outcome::Unused) };
         let up = async {
             let stream = TcpStream::connect(to.address).await.ok()?;
@@ -300,7 +381,8 @@
             let (send, driven) = builder.handshake(TokioIo::new(socket)).await.ok()?;
             let driven = Some(Box::pin(driven));
             let rested = Instant::now();
-            Some(Link { send, driven, stream, meter, to, rested, _permit: permit })
+            let (key, idle_max) = ((self.pool, to.server), self.idle_max);
+            Some(Link { send, driven, stream, meter, to, key, rested, idle_max, _permit: permit })
         };
         let up = timeout_at(until, up).await.ok().flatten();
         up.ok_or(Outcome::ConnectFailed)
@@ -308,18 +390,32 @@
 
     /// Sends a request once, on one connection, and never again.
     pub async fn attempt(
-        &self,
+        self: &Rc<Self>,
         to: To,
-        request: Request<Held>,
+        request: Request<Outbound>,
         until: Instant,
         cancel: &CancellationToken,
     ) -> Ended {
         let meter = RefCell::new(None);
+        let (upload, stall) = match (request.body(), &self.style) {
+            (Outbound::Streamed(upload), Style::Plain { stall, .. }) => {
+                (Some(upload.clone()), *stall)
+            }
+            _ => (None, Duration::ZERO),
+        };
+        let patience = until.saturating_duration_since(Instant::now());
+        let overdue = async {
+            match &upload {
+                // The client's time for an answer begins when its body is over.
+                Some(upload) => upload.overdue(stall, patience).await,
+                None => sleep_until(until).await,
+            }
+        };
         let stopped = tokio::select! {
             biased;
             ended = self.exchange(to, request, &meter) => return ended,
             () = cancel.cancelled() => Outcome::Cancelled,
-            () = sleep_until(until) => Outcome::TimedOut,
+            () = overdue => Outcome::TimedOut,
         };
         // The exchange is dropped and its connection closed. What was not written
         // whole by then cannot have run.
@@ -328,9 +424,9 @@
     }
 
     async fn exchange(
-        &self,
+        self: &Rc<Self>,
         to: To,
-        request: Request<Held>,
+        request: Request<Outbound>,
         meter: &RefCell<Option<Rc<Meter>>>,
     ) -> Ended {
         let mut link = match self.link(to).await {
@@ -338,7 +434,10 @@
             Err(outcome) => return outcome.into(),
         };
         *meter.borrow_mut() = Some(link.meter.clone());
-        match link.ask(request).await {
+        // Danger: any server but the platform's may begin a request before its last byte.
+        let plain = self.style != Style::Platform;
+        match link.ask(request, plain).await {
+            Ok(response) if plain => self.receive_plain(link, response).await,
             Ok(response) => self.receive(link, response).await,
             Err(outcome) => outcome.into(),
         }
@@ -361,7 +460,8 @@
         match link.body(body, most).await {
             Ok(body) => {
                 self.rest(link);
-                let answer = Answer { headers: head.headers, body };
+                let body = AnswerBody::Whole(body);
+                let answer = Answer { status: head.status, headers: head.headers, body };
                 let answer = (outcome == Outcome::Ok).then_some(answer);
                 Ended { outcome, report, answer }
             }
@@ -373,8 +473,62 @@
         }
     }
 
+    /// Takes any answer: whole if it is short and there, else as it comes.
+    async fn receive_plain(self: &Rc<Self>, mut link: Link, response: Response<Incoming>) -> Ended {
+        let Style::Plain { failures, never_ran, stall } = &self.style else {
+            return Outcome::Error.into();
+        };
+        let (head, mut body) = response.into_parts();
+        let framings = [header::TRANSFER_ENCODING, header::CONTENT_LENGTH];
+        if framings.iter().all(|framing| head.headers.contains_key(framing)) {
+            // Danger: two readers may take it for two answers.
+            return Outcome::Error.into();
+        }
+        let never_ran = never_ran.as_ref().and_then(|name| head.headers.get(name));
+        let outcome = match head.status.as_u16() {
+            _ if never_ran.is_some_and(|value| value == "1") => Outcome::Full,
+            status if failures.contains(&status) => Outcome::Error,
+            400..=499 => Outcome::Rejected,
+            _ => Outcome::Ok,
+        };
+        // What is short is read whole, so that a break can still be tried elsewhere.
+        let short = body.size_hint().exact().is_some_and(|size| size <= BODY_MAX as u64);
+        let until = Instant::now() + if short { SHORT_WAIT } else { Duration::ZERO };
+        let (mut frames, mut size, mut over) = (VecDeque::new(), 0, body.is_end_stream());
+        while !over && size <= BODY_MAX {
+            let frame = poll_fn(|cx| {
+                drive(&mut link.driven, cx);
+                Pin::new(&mut body).poll_frame(cx)
+            });
+            match timeout_at(until, frame).await {
+                Err(_) => break,
+                Ok(None) => over = true,
+                Ok(Some(Err(error))) => return broken(&link.meter, &error).into(),
+                Ok(Some(Ok(frame))) => {
+                    size += frame.data_ref().map_or(0, Bytes::len);
+                    frames.push_back(frame);
+                }
+            }
+        }
+        let rest = match over {
+            true => {
+                self.rest(link);
+                None
+            }
+            false => Some((link, body)),
+        };
+        let body = if rest.is_none() && frames.iter().all(Frame::is_data) {
+            AnswerBody::Whole(joined(frames))
+        } else {
+            let stream = ServerStream::new(self.clone(), frames, rest, *stall, outcome);
+            AnswerBody::Stream(Box::new(stream))
+        };
+        let answer = Answer { status: head.status, headers: head.headers, body };
+        Ended { outcome, report: None, answer: Some(answer) }
+    }
+
     /// Keeps a connection whose exchange is over, if it can carry another.
-    fn rest(&self, mut link: Link) {
+    pub(crate) fn rest(&self, mut link: Link) {
         let mut cx = Context::from_waker(std::task::Waker::noop());
         if link.settle(&mut cx) {
             self.keep(link);
@@ -385,16 +539,26 @@
     pub async fn get(
         &self,
         to: To,
-        request: Request<Held>,
+        request: Request<Outbound>,
     ) -> Result<(StatusCode, Bytes), Outcome> {
         let mut link = self.link(to).await?;
-        let (head, body) = link.ask(request).await?.into_parts();
+        let (head, body) = link.ask(request, false).await?.into_parts();
         let body = link.body(body, SMALL_MAX).await?;
         self.rest(link);
         Ok((head.status, body))
     }
 }
 
+fn joined(mut frames: VecDeque<Frame<Bytes>>) -> Bytes {
+    let mut data = frames.drain(..).filter_map(|frame| frame.into_data().ok());
+    let Some(first) = data.next() else { return Bytes::new() };
+    let Some(second) = data.next() else { return first };
+    let mut all = BytesMut::from(first);
+    all.extend_from_slice(&second);
+    data.for_each(|part| all.extend_from_slice(&part));
+    all.freeze()
+}
+
 /// Whether an answer's end can be told from a break: it has one length, or one
 /// sure end. Danger: an answer that ends with its connection may be cut short, and
 /// one with both framings may be read in two ways.
