--- a/crates/mintshelf/src/admin.rs
+++ b/crates/mintshelf/src/admin.rs
@@ -86,13 +86,13 @@
             registry.register(name, help, family);
         };
         let pools = daemon.pools();
-        let of = |level: &dyn Fn(&(String, [usize; 3])) -> usize| {
-            pools.iter().map(|pool| (pool.0.clone(), level(pool) as i64)).collect()
+        let of = |which: usize| {
+            pools.iter().map(|(name, levels)| (name.clone(), levels[which] as i64)).collect()
         };
-        let open = of(&|pool| pool.1[0]);
+        let open = of(0);
         gauges("open_requests", "Requests that have no answer yet", "cluster", open);
-        gauges("timers", "Timers set for open requests", "cluster", of(&|pool| pool.1[1]));
-        gauges("endpoints", "Endpoints listed", "cluster", of(&|pool| pool.1[2]));
+        gauges("timers", "Timers set for open requests", "cluster", of(1));
+        gauges("endpoints", "Endpoints listed", "cluster", of(2));
         let clients: Gauge = Gauge::default();
         clients.set(daemon.clients.len() as i64);
         registry.register("clients", "Connections of clients", clients);
--- a/crates/mintshelf/src/demo.rs
+++ b/crates/mintshelf/src/demo.rs
@@ -66,7 +66,7 @@
     sleep(Duration::from_millis(takes * rounds)).await;
     seen.open.set(seen.open.get() - 1);
     add(&seen.served, 1);
-    let failed = fails.is_some_and(|every| seen.served.get() % every == 0);
+    let failed = fails.is_some_and(|every| seen.served.get().is_multiple_of(every));
     add(&seen.failed, u64::from(failed));
     let mut response = Response::new(Full::new(Bytes::from(format!("served by {name}\n"))));
     if failed {
--- /dev/null
+++ b/crates/mintshelf/tests/commands.rs
@@ -0,0 +1,95 @@
+//! The command line.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_mintshelf");
+
+fn run(args: &[&str]) -> (i32, String, String) {
+    let Output { status, stdout, stderr } = Command::new(PROGRAM).args(args).output().unwrap();
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    (status.code().unwrap(), text(stdout), text(stderr))
+}
+
+fn example(name: &str) -> String {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR"));
+    root.join("../../deploy").join(name).canonicalize().unwrap().display().to_string()
+}
+
+fn broken(number: u32) -> PathBuf {
+    let file =
+        std::env::temp_dir().join(format!("mintshelf-broken-{}-{number}.toml", std::process::id()));
+    std::fs::write(&file, "listen = \"127.0.0.1\"\n[clusters.a]\nendpoint = []\n").unwrap();
+    file
+}
+
+#[test]
+fn check_tells_good_from_broken_from_unreadable() {
+    assert_eq!(run(&["check", &example("lab.toml")]), (0, String::new(), String::new()));
+    assert_eq!(run(&["check", &example("minimal.toml")]).0, 0);
+    let file = broken(1);
+    let name = file.display().to_string();
+    let (code, text, _) = run(&["check", &name]);
+    assert_eq!(code, 1);
+    for line in [":1:10: listen: '127.0.0.1': is not an address", ":3:1: clusters.a.endpoint: "] {
+        assert!(text.contains(&format!("{name}{line}")), "{line} in {text}");
+    }
+    assert!(text.contains("did you mean 'endpoints'?"), "{text}");
+    let (code, json, _) = run(&["check", &name, "--format", "json"]);
+    let problems: serde_json::Value = serde_json::from_str(&json).unwrap();
+    let problems = problems.as_array().unwrap();
+    assert_eq!((code, problems.len()), (1, text.lines().count()));
+    assert!(problems.iter().any(|p| p["line"] == 3 && p["column"] == 1 && p["rule"].is_null()));
+    assert!(problems.iter().any(|p| p["rule"] == 1), "{json}");
+    std::fs::remove_file(file).unwrap();
+    let (code, _, said) = run(&["check", "/nowhere/at/all.toml"]);
+    assert_eq!(code, 2, "{said}");
+    assert_eq!(run(&["chekc"]).0, 2);
+}
+
+#[test]
+fn explain_tells_the_winner_the_others_and_where_settings_come_from() {
+    let lab = example("lab.toml");
+    let url = "http://bench/devices/7/flash?x=1";
+    let (code, text, _) =
+        run(&["explain", &lab, "POST", url, "-H", "Idempotency-Key: k", "-H", "a: b"]);
+    assert_eq!(code, 0);
+    for part in [
+        "takes route 'flash'",
+        "not 'status' (line 61): the method is not one of its methods",
+        "not 'elsewhere' (line 89): it matches too, but is less specific",
+        "effect unsafe",
+        "classes.flash-device.deadline = 6s (line 46)",
+        "clusters.bench.max-attempts = 3 (default)",
+        "limits.memory = 33554432 (line 10)",
+    ] {
+        assert!(text.contains(part), "{part} in {text}");
+    }
+    let keyed =
+        |more: &[&str]| run(&[&["explain", &lab, "POST", "http://bench/runs"], more].concat()).1;
+    assert!(keyed(&["-H", "Idempotency-Key: k"]).contains("effect keyed"));
+    assert!(keyed(&[]).contains("effect unsafe"));
+    assert!(run(&["explain", &lab, "GET", "/nothing"]).1.contains("answered here: 404"));
+    assert_eq!(run(&["explain", &lab, "GET", "http://[", "-H", "x"]).0, 2);
+}
+
+#[test]
+fn the_demo_serves_and_ends_by_itself() {
+    let listen = format!("127.0.77.1:{}", 20_000 + std::process::id() % 9_000);
+    let (code, text, said) = run(&["demo", "--for", "3s", "--listen", &listen]);
+    assert_eq!(code, 0, "{said}");
+    assert!(text.contains(&format!("curl -i http://{listen}/")), "{text}");
+    let last = text.lines().last().unwrap();
+    let good: u64 = last.split(' ').next().unwrap().parse().unwrap();
+    assert!(good > 0 && last.ends_with(", 0 otherwise"), "{last}");
+}
+
+#[test]
+fn run_refuses_a_broken_file() {
+    let file = broken(2);
+    let name = file.display().to_string();
+    let (code, _, said) = run(&["run", "--config", &name]);
+    assert_eq!(code, 1);
+    assert!(said.contains("is refused") && said.contains(":1:10:"), "{said}");
+    std::fs::remove_file(file).unwrap();
+}
--- /dev/null
+++ b/crates/mintshelf/tests/swap.rs
@@ -0,0 +1,205 @@
+//! Files taken and refused while the daemon serves.
+
+use mintshelf_testkit::*;
+use std::collections::HashSet;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_mintshelf");
+
+/// A server that names itself, its path and the request's mark.
+fn server(name: &'static str) -> Server {
+    Server::start(move |r, _| {
+        Some(answer(&format!("{name} {} {}", r.path(), r.header("x-mark").unwrap_or("-"))))
+    })
+}
+
+fn get(path: &str) -> Vec<u8> {
+    format!("GET {path} HTTP/1.1\r\nHost: h\r\n\r\n").into_bytes()
+}
+
+fn body(message: &Message) -> String {
+    String::from_utf8_lossy(&message.body).into_owned()
+}
+
+/// Files whose every part differs: cluster, rewrite and mark must go together.
+fn file(at: SocketAddr, mark: &str, to: SocketAddr, stays: SocketAddr) -> String {
+    format!(
+        "listen = \"{at}\"\n[limits]\nsockets = 128\n\
+         [clusters.{mark}]\nendpoints = \"{to}\"\nconnect-timeout = \"5s\"\n\
+         [clusters.stays]\nendpoints = \"{stays}\"\nconnect-timeout = \"5s\"\n\
+         [[routes]]\nprefix = \"/x\"\ncluster = \"{mark}\"\nrewrite-prefix = \"/{mark}\"\n\
+         request-headers.set = {{ x-mark = \"{mark}\" }}\n\
+         [[routes]]\nprefix = \"/stays\"\ncluster = \"stays\"\n"
+    )
+}
+
+#[test]
+fn a_hundred_reloads_under_load_lose_nothing_and_mix_nothing() {
+    let (a, b, stays) = (server("a"), server("b"), server("stays"));
+    let at = free_address();
+    let good = [file(at, "a", a.at, stays.at), file(at, "b", b.at, stays.at)];
+    let broken = [good[0].replace("cluster = \"a\"", "cluster = \"c\""), "listen = ".to_string()];
+    let daemon = Daemon::start(PROGRAM, at, &good[0], &[]);
+    let over = Arc::new(AtomicBool::new(false));
+    let asked = Arc::new(AtomicUsize::new(0));
+    let clients: Vec<_> = (0..4)
+        .map(|_| {
+            let (over, asked) = (over.clone(), asked.clone());
+            thread::spawn(move || {
+                let mut seen = HashSet::new();
+                let mut stream = connect(at).unwrap();
+                while !over.load(Ordering::Relaxed) {
+                    stream.write_all(&get("/x/1")).unwrap();
+                    let got = Message::read(&mut stream).expect("an answer");
+                    assert_eq!(got.status(), 200, "{}", got.head);
+                    seen.insert(body(&got));
+                    stream.write_all(&get("/stays")).unwrap();
+                    assert_eq!(Message::read(&mut stream).expect("an answer").status(), 200);
+                    asked.fetch_add(2, Ordering::Relaxed);
+                }
+                seen
+            })
+        })
+        .collect();
+    let mut measured = Vec::new();
+    for turn in 0..100 {
+        let text = match turn % 4 {
+            0 => &good[1],
+            1 => &broken[0],
+            2 => &good[0],
+            _ => &broken[1],
+        };
+        daemon.reload(text);
+        let before = asked.load(Ordering::Relaxed);
+        wait_until("requests go on", || asked.load(Ordering::Relaxed) > before + 8);
+        if turn >= 20 {
+            measured.push((daemon.descriptors(), daemon.memory("VmRSS:")));
+        }
+    }
+    over.store(true, Ordering::Relaxed);
+    for client in clients {
+        for text in client.join().unwrap() {
+            assert!(["a /a/1 a", "b /b/1 b"].contains(&text.as_str()), "a mix: {text}");
+        }
+    }
+    assert_eq!(daemon.said().matches("is in force\n").count(), 50);
+    assert_eq!(daemon.said().matches("is refused").count(), 50);
+    let most = |of: &[(usize, usize)]| *of.iter().map(|(d, _)| d).max().unwrap();
+    let (first, last) = measured.split_at(measured.len() / 2);
+    assert!(most(last) <= most(first) + 4, "descriptors {} to {}", most(first), most(last));
+    let (first, last) = (first[first.len() - 1].1, last[last.len() - 1].1);
+    assert!(last < first + (2 << 20), "memory from {first} to {last}");
+    // The cluster that stayed kept its connections through it all.
+    assert!(*stays.connections.lock().unwrap() <= 8);
+}
+
+#[test]
+fn a_refused_file_says_why_and_changes_nothing() {
+    let (a, b) = (server("a"), server("b"));
+    let at = free_address();
+    let good = file(at, "a", a.at, b.at);
+    let daemon = Daemon::start(PROGRAM, at, &good, &[]);
+    daemon.reload(&good.replace("cluster = \"stays\"", "cluster = \"stay\""));
+    let said = daemon.said();
+    assert!(said.contains(":17:11: routes[1].cluster: 'stay' names nothing"), "{said}");
+    assert!(said.contains("did you mean 'stays'?"), "{said}");
+    assert_eq!(body(&daemon.ask(&get("/stays")).unwrap()), "b /stays -");
+    // An address that can't be had is no reason to drop the others.
+    let taken = Peer::start(|_| {});
+    let clash = good.replace(&format!("\"{at}\""), &format!("[\"{at}\", \"{}\"]", taken.at));
+    daemon.reload(&clash);
+    assert!(daemon.said().contains("in use"), "{}", daemon.said());
+    assert_eq!(daemon.ask(&get("/stays")).unwrap().status(), 200);
+}
+
+#[test]
+fn a_request_under_way_keeps_its_file_and_removed_listeners_drain() {
+    let hold = Arc::new(AtomicBool::new(true));
+    let held = hold.clone();
+    let slow = Server::start(move |_, number| {
+        while number == 1 && held.load(Ordering::Relaxed) {
+            thread::sleep(std::time::Duration::from_millis(5));
+        }
+        Some(answer("slow"))
+    });
+    let (quick, stays) = (server("quick"), server("stays"));
+    let (at, second) = (free_address(), free_address());
+    let with_both = |mark, to| {
+        let listen = format!("listen = [\"{at}\", \"{second}\"]");
+        file(at, mark, to, stays.at).replace(&format!("listen = \"{at}\""), &listen)
+    };
+    let daemon = Daemon::start(PROGRAM, at, &with_both("slow", slow.at), &[]);
+    let mut open = connect(second).unwrap();
+    open.write_all(&get("/x")).unwrap();
+    wait_until("it is at the server", || slow.seen().len() == 1);
+    daemon.reload(&file(at, "quick", quick.at, stays.at));
+    assert_eq!(body(&daemon.ask(&get("/x")).unwrap()), "quick /quick quick");
+    wait_until("the second listener is gone", || connect(second).is_none());
+    // What was under way on it is answered by the server that took it.
+    hold.store(false, Ordering::Relaxed);
+    let got = Message::read(&mut open).unwrap();
+    assert_eq!((got.status(), body(&got).as_str()), (200, "slow"));
+    // And its connection is closed behind it.
+    assert!(Message::read(&mut open).is_none());
+}
+
+#[test]
+fn a_watched_file_is_read_when_it_changes() {
+    let (a, b, stays) = (server("a"), server("b"), server("stays"));
+    let at = free_address();
+    let daemon = Daemon::start(PROGRAM, at, &file(at, "a", a.at, stays.at), &["--watch"]);
+    assert_eq!(body(&daemon.ask(&get("/x")).unwrap()), "a /a a");
+    std::fs::write(&daemon.file, file(at, "other", b.at, stays.at)).unwrap();
+    wait_until("the new file is in force", || {
+        body(&daemon.ask(&get("/x")).unwrap()) == "b /other other"
+    });
+}
+
+#[test]
+fn the_end_answers_what_was_taken() {
+    let slow = Server::start(|_, _| {
+        thread::sleep(std::time::Duration::from_millis(700));
+        Some(answer("slow"))
+    });
+    let at = free_address();
+    let mut daemon = Daemon::start(PROGRAM, at, &file(at, "slow", slow.at, slow.at), &[]);
+    let mut open = connect(at).unwrap();
+    open.write_all(&get("/x")).unwrap();
+    wait_until("it is at the server", || slow.seen().len() == 1);
+    daemon.signal("TERM");
+    assert_eq!(Message::read(&mut open).unwrap().body, b"slow");
+    wait_until("it ends", || daemon.child.try_wait().unwrap().is_some());
+    assert!(daemon.child.wait().unwrap().success());
+}
+
+#[test]
+fn memory_goes_by_what_is_open_and_not_by_what_has_been() {
+    let (a, admin, at) = (server("a"), free_address(), free_address());
+    let text = file(at, "a", a.at, a.at) + &format!("[admin]\naddress = \"{admin}\"\n");
+    // Requests end at once; with this aim their timers would stand for minutes.
+    let text =
+        text.replace("[limits]", "[classes.default]\naim = \"10m\"\ndeadline = \"20m\"\n[limits]");
+    let daemon = Daemon::start(PROGRAM, at, &text, &[]);
+    let mut stream = connect(at).unwrap();
+    let mut ask = |count: usize| {
+        for _ in 0..count {
+            stream.write_all(&get("/x")).unwrap();
+            assert_eq!(Message::read(&mut stream).unwrap().status(), 200);
+        }
+    };
+    ask(1_000);
+    let before = daemon.memory("VmRSS:");
+    ask(12_000);
+    let grown = daemon.memory("VmRSS:").saturating_sub(before);
+    assert!(grown < 1 << 20, "{grown} bytes for 12,000 ended requests");
+    let metrics = ask_text(admin, "/-/metrics");
+    assert!(metrics.contains("mintshelf_timers{cluster=\"a\"} 0"), "{metrics}");
+}
+
+fn ask_text(at: SocketAddr, path: &str) -> String {
+    body(&ask(at, &get(path)).unwrap())
+}
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -23,10 +23,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at, Instant};
 
 /// How long a body waits for room among the bodies held.
 const ROOM_WAIT: Duration = Duration::from_secs(1);
+/// How long a body of unknown length may take to come whole before it is passed on as it
+/// comes. One that came whole can be sent again.
+const HOLD_WAIT: Duration = Duration::from_millis(5);
 
 /// What is in force on one listener: a snapshot, swapped whole by a reload. Requests keep
 /// the one they began with.
@@ -297,9 +300,13 @@
         };
         client.enter(Phase::Busy);
         let (mut held, mut over) = (BytesMut::new(), false);
+        let until = Instant::now() + HOLD_WAIT;
         while !over && held.len() < want.max(1) {
             let next = poll_fn(|cx| Pin::new(&mut body).poll_frame(cx));
-            let frame = if short { Some(next.await) } else { ready_now(next).await };
+            let frame = match short {
+                true => Some(next.await),
+                false => timeout_at(until, next).await.ok(),
+            };
             match frame {
                 None => break,
                 Some(None) => over = true,
@@ -312,6 +319,10 @@
                 }
             }
         }
+        if client.scan.borrow().spoilt() {
+            let what = "the body's chunks can be read in two ways";
+            return Err(Refusal::new(StatusCode::BAD_REQUEST, "doubtful-framing", what).last());
+        }
         let held = held.freeze();
         let outbound = match short || over {
             true => Outbound::Held(Held::new(held)),
@@ -331,15 +342,6 @@
     path: String,
 }
 
-/// What a future gives without waiting.
-async fn ready_now<T>(future: impl std::future::Future<Output = T>) -> Option<T> {
-    tokio::select! {
-        biased;
-        value = future => Some(value),
-        () = std::future::ready(()) => None,
-    }
-}
-
 /// The effect of a request: what its route states, else the graver of its class's and its
 /// method's (RFC 9110 9.2.1). A keyed one needs its key (`keyed`). It is never taken for
 /// milder than it is: only the client of a PUT or DELETE knows what came between.
--- a/crates/proxy/src/scan.rs
+++ b/crates/proxy/src/scan.rs
@@ -73,8 +73,10 @@
     Body(u64),
     /// In a line with a chunk's size.
     Size,
-    /// In a chunk, with its line's end, of so many bytes left.
+    /// In a chunk with so many bytes left.
     Chunk(u64),
+    /// Behind a chunk, where its line must end; whether half of that has come.
+    ChunkEnd(bool),
     /// In the lines behind the last chunk.
     Trailers,
     /// Past a message whose end can't be told.
@@ -110,7 +112,16 @@
                     let taken = left.min(bytes.len() as u64);
                     bytes = &bytes[taken as usize..];
                     let left = left - taken;
-                    self.state = if left == 0 { State::Size } else { State::Chunk(left) };
+                    self.state =
+                        if left == 0 { State::ChunkEnd(false) } else { State::Chunk(left) };
+                }
+                State::ChunkEnd(half) => {
+                    self.state = match (half, bytes[0]) {
+                        (false, b'\r') => State::ChunkEnd(true),
+                        (true, b'\n') => State::Size,
+                        _ => self.spoil(),
+                    };
+                    bytes = &bytes[1..];
                 }
                 State::Start | State::Fields | State::Size | State::Trailers => {
                     let end = bytes.iter().position(|b| *b == b'\n');
@@ -191,15 +202,16 @@
         let size = u64::from_str_radix(text, 16).ok().filter(|n| hex && *n < 1 << 60);
         match size {
             Some(0) if ended => State::Trailers,
-            // The chunk and its line's end.
-            Some(size) if ended => State::Chunk(size + 2),
-            _ => {
-                self.spoilt = true;
-                State::Lost
-            }
+            Some(size) if ended => State::Chunk(size),
+            _ => self.spoil(),
         }
     }
 
+    fn spoil(&mut self) -> State {
+        self.spoilt = true;
+        State::Lost
+    }
+
     /// The head of the next request that the library hands over.
     pub fn next_head(&mut self) -> Head {
         let lost = (self.state == State::Lost).then_some("it comes behind what can't be read");
@@ -261,6 +273,8 @@
             let bytes = format!("GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{size}\r\nx");
             assert!(heads(bytes.as_bytes(), 7).1, "{size}");
         }
+        let endless = b"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nxy\r\n0\r\n\r\n";
+        assert!(heads(endless, 7).1);
         let bare = b"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\nx\r\n0\r\n\r\n";
         assert!(heads(bare, 7).1);
     }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -116,6 +116,21 @@
     format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
 }
 
+/// A peer whose connections a test handles byte by byte.
+pub struct Peer {
+    /// Its address.
+    pub at: SocketAddr,
+    _closing: Closing,
+}
+
+impl Peer {
+    /// Each connection goes to `serve_one`, in a thread of its own.
+    pub fn start(serve_one: impl Fn(TcpStream) + Send + Sync + 'static) -> Self {
+        let at = free_address();
+        Peer { at, _closing: serve(at, serve_one) }
+    }
+}
+
 /// A server: it notes each request and writes what it is told for it.
 pub struct Server {
     /// Its address.
@@ -214,6 +229,109 @@
     }
 }
 
+/// Numbers of a process, from /proc.
+pub trait Process {
+    /// Its id.
+    fn pid(&self) -> u32;
+
+    /// Sends a signal by name.
+    fn signal(&self, name: &str) {
+        let pid = self.pid().to_string();
+        assert!(Command::new("kill").args(["-s", name, &pid]).status().unwrap().success());
+    }
+
+    /// Descriptors open now.
+    fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.pid())).unwrap().count()
+    }
+
+    /// A line of its status that holds a size, in bytes.
+    fn memory(&self, line: &str) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap();
+        let line = status.lines().find(|l| l.starts_with(line)).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse::<usize>().unwrap() << 10
+    }
+
+    /// The most memory it ever held, in bytes.
+    fn peak_memory(&self) -> usize {
+        self.memory("VmHWM:")
+    }
+}
+
+/// The program with an operator's file, ended when the test is.
+pub struct Daemon {
+    /// Its first listener.
+    pub at: SocketAddr,
+    /// The process.
+    pub child: Child,
+    /// Its file.
+    pub file: PathBuf,
+    errors: Arc<Mutex<String>>,
+}
+
+impl Process for Daemon {
+    fn pid(&self) -> u32 {
+        self.child.id()
+    }
+}
+
+impl Daemon {
+    /// Starts the program (its path) with a file of this text and waits until it listens
+    /// at `at`, which the text names.
+    pub fn start(program: &str, at: SocketAddr, text: &str, more: &[&str]) -> Self {
+        let name = at.to_string().replace(':', "-");
+        let file = std::env::temp_dir().join(format!("mintshelf-{name}.toml"));
+        std::fs::write(&file, text).unwrap();
+        let mut child = Command::new(program)
+            .arg("run")
+            .arg("--config")
+            .arg(&file)
+            .args(more)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let errors = Arc::new(Mutex::new(String::new()));
+        let (mut stderr, said) = (child.stderr.take().unwrap(), errors.clone());
+        thread::spawn(move || {
+            let mut buffer = [0; 4096];
+            while let Ok(count @ 1..) = stderr.read(&mut buffer) {
+                said.lock().unwrap().push_str(&String::from_utf8_lossy(&buffer[..count]));
+            }
+        });
+        let daemon = Daemon { at, child, file, errors };
+        wait_until("the daemon listens", || daemon.said().contains("listens on"));
+        daemon
+    }
+
+    /// What it wrote to standard error so far.
+    pub fn said(&self) -> String {
+        self.errors.lock().unwrap().clone()
+    }
+
+    /// Replaces the file, sends SIGHUP and waits until it says what came of it.
+    pub fn reload(&self, text: &str) {
+        let told =
+            |said: &str| said.matches("is in force\n").count() + said.matches("is refused").count();
+        let before = told(&self.said());
+        std::fs::write(&self.file, text).unwrap();
+        self.signal("HUP");
+        wait_until("the file is read again", || told(&self.said()) > before);
+    }
+
+    /// One request on a new connection, and its answer.
+    pub fn ask(&self, request: &[u8]) -> Option<Message> {
+        ask(self.at, request)
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
 /// The program, ended when the test is.
 pub struct Sidecar {
     /// Its address.
@@ -251,6 +369,12 @@
     })
 }
 
+impl Process for Sidecar {
+    fn pid(&self) -> u32 {
+        self.child.id()
+    }
+}
+
 impl Sidecar {
     /// Starts the program (its path) and waits until it says that it is ready.
     pub fn start(program: &str, config: Value) -> Self {
@@ -272,29 +396,11 @@
         self.signal("HUP");
     }
 
-    /// Sends a signal by name.
-    pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-s", name, &pid]).status().unwrap().success());
-    }
-
     /// Whether the process still runs.
     pub fn running(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
     }
 
-    /// Descriptors open now.
-    pub fn descriptors(&self) -> usize {
-        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
-    }
-
-    /// The most memory it ever held, in bytes.
-    pub fn peak_memory(&self) -> usize {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find(|l| l.starts_with("VmHWM:")).unwrap();
-        line.split_whitespace().nth(1).unwrap().parse::<usize>().unwrap() << 10
-    }
-
     /// One request on a new connection, and its answer.
     pub fn ask(&self, request: &[u8]) -> Option<Message> {
         ask(self.at, request)
