--- /dev/null
+++ b/crates/mintshelf/benches/relay.rs
@@ -0,0 +1,271 @@
+//! The daemon against the least relay that hyper allows (pooled client, round robin, no
+//! rules), in one run: `cargo bench -p mintshelf`. Each runs in a process on a core of its
+//! own where `taskset` and the cores are there; servers and load have others.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode, Uri};
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::net::{SocketAddr, TcpStream as Probe};
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{spawn_local, LocalSet};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_mintshelf");
+const ROLE: &str = "MINTSHELF_BENCH_ROLE";
+const SERVERS: [&str; 3] = ["127.0.91.1:19101", "127.0.91.1:19102", "127.0.91.1:19103"];
+const RELAY: &str = "127.0.91.1:19110";
+const DAEMON: &str = "127.0.91.1:19111";
+const CONNECTIONS: usize = 32;
+const WARM: Duration = Duration::from_secs(1);
+const SPAN: Duration = Duration::from_secs(3);
+const ROUNDS: usize = 3;
+/// Clock ticks a second in /proc, as Linux tells them to programs.
+const TICKS: f64 = 100.0;
+
+type Fault = Box<dyn std::error::Error + Send + Sync>;
+
+fn block_on<T>(future: impl std::future::Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), future)
+}
+
+async fn listen(at: &str) -> Result<TcpListener, Fault> {
+    Ok(TcpListener::bind(at.parse::<SocketAddr>()?).await?)
+}
+
+async fn servers() -> Result<(), Fault> {
+    for at in SERVERS {
+        let listener = listen(at).await?;
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let _ = stream.set_nodelay(true);
+                let service = service_fn(|request: Request<Incoming>| async move {
+                    let _ = request.into_body().collect().await;
+                    let body = Full::new(Bytes::from_static(&[b'x'; 256]));
+                    Ok::<_, Infallible>(Response::new(body))
+                });
+                spawn_local(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+            }
+        });
+    }
+    std::future::pending::<()>().await;
+    Ok(())
+}
+
+/// Idle connections by server, and whose turn it is.
+#[derive(Default)]
+struct Pool {
+    idle: [RefCell<Vec<SendRequest<Incoming>>>; 3],
+    turn: Cell<usize>,
+}
+
+async fn pass(pool: &Pool, mut request: Request<Incoming>) -> Result<Response<Incoming>, Fault> {
+    let turn = pool.turn.get();
+    pool.turn.set((turn + 1) % SERVERS.len());
+    let kept = pool.idle[turn].borrow_mut().pop();
+    let mut send = match kept {
+        Some(send) => send,
+        None => {
+            let stream = TcpStream::connect(SERVERS[turn]).await?;
+            stream.set_nodelay(true)?;
+            let (send, driven) = handshake(TokioIo::new(stream)).await?;
+            spawn_local(driven);
+            send
+        }
+    };
+    send.ready().await?;
+    let path = request.uri().path_and_query().map_or("/", |p| p.as_str());
+    *request.uri_mut() = path.parse::<Uri>()?;
+    let response = send.send_request(request).await?;
+    pool.idle[turn].borrow_mut().push(send);
+    Ok(response)
+}
+
+async fn relay() -> Result<(), Fault> {
+    let listener = listen(RELAY).await?;
+    let pool = Rc::new(Pool::default());
+    while let Ok((stream, _)) = listener.accept().await {
+        let _ = stream.set_nodelay(true);
+        let pool = pool.clone();
+        let service = service_fn(move |request| {
+            let pool = pool.clone();
+            async move { pass(&pool, request).await }
+        });
+        spawn_local(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+    }
+    Ok(())
+}
+
+/// Asks over and over until the end; the time of each answer.
+async fn ask(
+    to: SocketAddr,
+    until: Instant,
+    times: Rc<RefCell<Vec<Duration>>>,
+) -> Result<(), Fault> {
+    let stream = TcpStream::connect(to).await?;
+    stream.set_nodelay(true)?;
+    let (mut send, driven) = handshake(TokioIo::new(stream)).await?;
+    spawn_local(driven);
+    while Instant::now() < until {
+        send.ready().await?;
+        let begun = Instant::now();
+        let request =
+            Request::get("/devices/7").header("host", "bench").body(Empty::<Bytes>::new())?;
+        let response = send.send_request(request).await?;
+        if response.status() != StatusCode::OK {
+            return Err(format!("answered {}", response.status()).into());
+        }
+        response.into_body().collect().await?;
+        times.borrow_mut().push(begun.elapsed());
+    }
+    Ok(())
+}
+
+async fn load(to: &str, span: Duration) -> Result<Vec<Duration>, Fault> {
+    let times = Rc::new(RefCell::new(Vec::new()));
+    let (to, until) = (to.parse()?, Instant::now() + span);
+    let tasks: Vec<_> =
+        (0..CONNECTIONS).map(|_| spawn_local(ask(to, until, times.clone()))).collect();
+    for task in tasks {
+        task.await??;
+    }
+    let mut times = times.take();
+    times.sort_unstable();
+    Ok(times)
+}
+
+/// A child process, ended when the bench is.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Process {
+    fn start(core: &str, program: &str, args: &[&str], role: &str) -> Result<Self, Fault> {
+        let pinned = Command::new("taskset").args(["-c", core, "true"]).status();
+        let mut command = match pinned.is_ok_and(|status| status.success()) {
+            true => {
+                let mut command = Command::new("taskset");
+                command.args(["-c", core, program]);
+                command
+            }
+            false => Command::new(program),
+        };
+        let command = command.args(args).env(ROLE, role).stderr(Stdio::null());
+        Ok(Process(command.spawn()?))
+    }
+
+    /// CPU seconds used so far.
+    fn cpu(&self) -> f64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.0.id()));
+        let stat = stat.unwrap_or_default();
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+        let of = |at: usize| fields.get(at).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+        (of(11) + of(12)) / TICKS
+    }
+
+    /// Resident memory in KiB.
+    fn memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.0.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap_or("0");
+        line.split_whitespace().next().and_then(|n| n.parse().ok()).unwrap_or(0)
+    }
+}
+
+fn wait_for(at: &str) {
+    let begun = Instant::now();
+    while Probe::connect(at).is_err() && begun.elapsed() < Duration::from_secs(20) {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Requests a second, p50 and p99 in microseconds, CPU microseconds a request.
+fn measure(to: &str, process: Option<&Process>) -> Result<[f64; 4], Fault> {
+    block_on(load(to, WARM))?;
+    let before = process.map_or(0.0, Process::cpu);
+    let times = block_on(load(to, SPAN))?;
+    let used = process.map_or(0.0, Process::cpu) - before;
+    let micros = |share: f64| times[(times.len() as f64 * share) as usize].as_secs_f64() * 1e6;
+    let rate = times.len() as f64 / SPAN.as_secs_f64();
+    Ok([rate, micros(0.5), micros(0.99), used * 1e6 / times.len() as f64])
+}
+
+fn bench() -> Result<(), Fault> {
+    let me = std::env::current_exe()?;
+    let me = me.to_str().ok_or("the program's path")?;
+    let endpoints = SERVERS.map(|at| format!("\"{at}\"")).join(", ");
+    let text = format!(
+        "listen = \"{DAEMON}\"\n[clusters.bench]\nendpoints = [{endpoints}]\n\
+         [[routes]]\ncluster = \"bench\"\n"
+    );
+    let file = std::env::temp_dir().join(format!("mintshelf-bench-{}.toml", std::process::id()));
+    std::fs::write(&file, text)?;
+    let path = file.to_str().ok_or("the file's path")?;
+    let _servers = Process::start("0", me, &[], "servers")?;
+    let relay = Process::start("1", me, &[], "relay")?;
+    let daemon = Process::start("1", PROGRAM, &["run", "--config", path], "")?;
+    [SERVERS[0], RELAY, DAEMON].map(wait_for);
+    println!(
+        "{CONNECTIONS} connections, 256 bytes an answer, {ROUNDS} rounds of {SPAN:?}, medians"
+    );
+    let mut all: [Vec<[f64; 4]>; 3] = Default::default();
+    for _ in 0..ROUNDS {
+        let ways = [(SERVERS[0], None), (RELAY, Some(&relay)), (DAEMON, Some(&daemon))];
+        for (way, results) in ways.into_iter().zip(&mut all) {
+            results.push(measure(way.0, way.1)?);
+        }
+    }
+    let median = |results: &[[f64; 4]]| {
+        [0, 1, 2, 3].map(|at| {
+            let mut values: Vec<f64> = results.iter().map(|r| r[at]).collect();
+            values.sort_by(f64::total_cmp);
+            values[values.len() / 2]
+        })
+    };
+    let [direct, least, ours] = [&all[0], &all[1], &all[2]].map(|r| median(r));
+    let memory = [relay.memory(), daemon.memory()];
+    println!(
+        "{:>12} {:>10} {:>12} {:>12} {:>14} {:>10}",
+        "", "requests/s", "added p50 us", "added p99 us", "CPU us/request", "RSS KiB"
+    );
+    for (name, [rate, p50, p99, cpu], memory) in
+        [("least relay", least, memory[0]), ("mintshelf", ours, memory[1])]
+    {
+        let (p50, p99) = (p50 - direct[1], p99 - direct[2]);
+        println!("{name:>12} {rate:>10.0} {p50:>12.0} {p99:>12.0} {cpu:>14.1} {memory:>10}");
+    }
+    let ratio = [0, 1, 2, 3].map(|at| ours[at] / least[at]);
+    println!(
+        "{:>12} {:>10.2} {:>12.2} {:>12.2} {:>14.2} {:>10.2}   (p50 and p99 whole, not added)",
+        "ratio",
+        ratio[0],
+        ratio[1],
+        ratio[2],
+        ratio[3],
+        memory[1] as f64 / memory[0].max(1) as f64
+    );
+    std::fs::remove_file(file)?;
+    Ok(())
+}
+
+fn main() -> Result<(), Fault> {
+    match std::env::var(ROLE).as_deref() {
+        Ok("servers") => block_on(servers()),
+        Ok("relay") => block_on(relay()),
+        _ => bench(),
+    }
+}
--- /dev/null
+++ b/crates/routing/benches/routes.rs
@@ -0,0 +1,69 @@
+//! Cost of a match at 10, 1,000 and 10,000 routes: `cargo bench -p mintshelf-routing`.
+
+use http::{HeaderMap, Method};
+use mintshelf_routing::{Host, PathMatch, Pattern, Probe, Rule, Table};
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Instant;
+
+const ROUNDS: usize = 200_000;
+
+/// Routes as teams write them: hosts with a few paths each, some exact, some by method.
+fn rules(count: usize, regexes: bool) -> Vec<Arc<Rule>> {
+    let rule = |n: usize| {
+        let host = format!("team{}.example", n / 10);
+        let path = match n % 10 {
+            0 => PathMatch::Prefix("/".into()),
+            1..=3 => PathMatch::Exact(format!("/api/v{n}/status")),
+            4 if regexes => {
+                let text = format!("/runs/{n}/[0-9]+/logs");
+                Pattern::new(&text).map_or(PathMatch::Exact(text), PathMatch::Regex)
+            }
+            _ => PathMatch::Prefix(format!("/api/v{n}/devices")),
+        };
+        let host = match n % 50 {
+            7 => Host::Under(format!("team{}.example", n / 10)),
+            _ => Host::Exact(host),
+        };
+        let methods = if n % 3 == 0 { vec![Method::GET] } else { Vec::new() };
+        Arc::new(Rule { hosts: vec![host], path, methods, ..Rule::default() })
+    };
+    (0..count).map(rule).collect()
+}
+
+/// Nanoseconds a look-up, over requests spread over all routes.
+fn cost(table: &Table, count: usize, naively: bool) -> f64 {
+    let headers = HeaderMap::new();
+    let asked: Vec<(String, String)> = (0..997)
+        .map(|n| {
+            let n = n * 7919 % count;
+            (format!("team{}.example", n / 10), format!("/api/v{n}/devices/17/status?a=b"))
+        })
+        .collect();
+    let rounds = if naively { ROUNDS / count.max(100) } else { ROUNDS };
+    let begun = Instant::now();
+    for round in 0..rounds {
+        let (host, path) = &asked[round % asked.len()];
+        let probe = Probe::new(host, path, &Method::GET, &headers);
+        black_box(if naively { table.find_naively(&probe) } else { table.find(&probe) });
+    }
+    begun.elapsed().as_nanos() as f64 / rounds as f64
+}
+
+fn main() {
+    println!(
+        "{:>8} {:>14} {:>8} {:>18} {:>18}",
+        "routes", "ns a match", "ratio", "with expressions", "asking every rule"
+    );
+    let mut first = None;
+    for count in [10, 1_000, 10_000] {
+        let Ok(plain) = Table::new(rules(count, false)) else { return };
+        let Ok(mixed) = Table::new(rules(count, true)) else { return };
+        cost(&plain, count, false);
+        let by_table = cost(&plain, count, false);
+        let with_regexes = cost(&mixed, count, false);
+        let naive = cost(&plain, count, true);
+        let ratio = by_table / *first.get_or_insert(by_table);
+        println!("{count:>8} {by_table:>14.0} {ratio:>8.2} {with_regexes:>18.0} {naive:>18.0}");
+    }
+}
