End a request whose begun stream breaks before it has an answer

Cause: once an upload had begun to stream, the module took the request for settled; when its server died before any answer, it neither resent nor failed it, and the client waited for ever. A test of the module found it. Change: such a request is failed at once (502). Tests in the module and through sockets, one that ended requests take their timers back, and lints in the benches.

--- a/crates/balancer/src/decide/attempts.rs
+++ b/crates/balancer/src/decide/attempts.rs
@@ -206,8 +206,10 @@
         }
         // Never-run attempts go elsewhere at once; the rest asks the retry budget.
         let price = f64::from(u8::from(!outcome.never_ran()));
-        // Danger: sent on, an unfit request would have every server turn it away.
-        if self.retry_credit >= price && outcome != Outcome::Rejected {
+        // Danger: sent on, an unfit request would have every server turn it away; one whose
+        // stream broke can't be sent on, and would never end.
+        let again = outcome != Outcome::Rejected && !self.requests[&id].streaming;
+        if again && self.retry_credit >= price {
             self.retry_credit -= price;
             self.advance(now, &id, out);
         } else if !self.requests[&id].attempts.iter().any(Attempt::out) {
--- a/crates/balancer/tests/rules.rs
+++ b/crates/balancer/tests/rules.rs
@@ -723,3 +723,49 @@
     // After a while the class is tried there again.
     assert!(there(&mut rig, S + 4 * S, 0) > 0);
 }
+
+#[test]
+fn a_request_that_ends_takes_its_timers_back() {
+    for (outcome, finished) in [(Outcome::Ok, true), (Outcome::Error, false)] {
+        let mut rig = Rig::with(settings(), 1..=4);
+        // Unsafe, so that the error ends it too.
+        let mut out = rig.feed(S, request("a", 4, 2 * S));
+        let first = sends(&out)[0];
+        out.extend(rig.feed(S + 20 * MS, ended("a", 0, first, outcome, finished)));
+        let tokens = |of: fn(&Action) -> Option<u64>| out.iter().filter_map(of).collect::<Vec<_>>();
+        let set = tokens(|a| match a {
+            Action::SetTimer { token, .. } => Some(*token),
+            _ => None,
+        });
+        let dropped = tokens(|a| match a {
+            Action::DropTimer { token } => Some(*token),
+            _ => None,
+        });
+        assert!(!set.is_empty());
+        assert_eq!(set, dropped, "{outcome:?}");
+        // One that fires all the same does nothing.
+        assert!(rig.feed(2 * S, Event::Timer { token: set[0] }).is_empty());
+    }
+}
+
+#[test]
+fn an_answer_that_has_begun_is_no_silence_and_cannot_be_tried_again() {
+    let mut rig = Rig::with(settings(), 1..=4);
+    let out = rig.feed(S, request("a", 0, 2 * S));
+    let first = sends(&out)[0];
+    let timer = out.iter().find_map(|a| match a {
+        Action::SetTimer { after, token } => Some((*after, *token)),
+        _ => None,
+    });
+    let (after, token) = timer.unwrap();
+    rig.feed(S + 10 * MS, Event::StreamStarted { id: "a".into(), attempt: 0 });
+    assert!(rig.feed(S + after, Event::Timer { token }).is_empty());
+    // The server that answers slowly but well is still drawn.
+    let drawn = (0..200).any(|n| {
+        let id = format!("r{n}");
+        sends(&rig.feed(S + after, request(&id, 0, 2 * S))).contains(&first)
+    });
+    assert!(drawn);
+    let after = rig.feed(S + 600 * MS, ended("a", 0, first, Outcome::Reset, false));
+    assert!(sends(&after).is_empty() && failed(&after), "{after:?}");
+}
--- a/crates/mintshelf/benches/relay.rs
+++ b/crates/mintshelf/benches/relay.rs
@@ -218,7 +218,7 @@
     let _servers = Process::start("0", me, &[], "servers")?;
     let relay = Process::start("1", me, &[], "relay")?;
     let daemon = Process::start("1", PROGRAM, &["run", "--config", path], "")?;
-    [SERVERS[0], RELAY, DAEMON].map(wait_for);
+    [SERVERS[0], RELAY, DAEMON].into_iter().for_each(wait_for);
     println!(
         "{CONNECTIONS} connections, 256 bytes an answer, {ROUNDS} rounds of {SPAN:?}, medians"
     );
--- a/crates/mintshelf/tests/plain.rs
+++ b/crates/mintshelf/tests/plain.rs
@@ -240,6 +240,42 @@
     }
 }
 
+#[test]
+fn a_server_that_dies_in_mid_upload_is_an_answer_at_once_and_no_second_try() {
+    let tries = Arc::new(AtomicUsize::new(0));
+    let counted = tries.clone();
+    let server = Peer::start(move |mut stream| {
+        let mut buffer = vec![0; 64 << 10];
+        let mut seen = 0;
+        while seen < 400_000 {
+            match stream.read(&mut buffer) {
+                Ok(count @ 1..) => seen += count,
+                _ => return,
+            }
+        }
+        counted.fetch_add(1, Ordering::Relaxed);
+    });
+    let text = |at| {
+        file(at, &[server.at], "").replace(
+            "[limits]",
+            "[classes.default]\ndeadline = \"10m\"\n[limits]\nstream-timeout = \"10m\"",
+        )
+    };
+    let at = free_address();
+    let daemon = Daemon::start(PROGRAM, at, &text(at), &[]);
+    // Even a safe one: what has gone of its body can't be had again.
+    for (number, method) in ["POST", "GET"].into_iter().enumerate() {
+        let mut stream = connect(daemon.at).unwrap();
+        let head = format!("{method} / HTTP/1.1\r\nHost: h\r\nContent-Length: 600000\r\n\r\n");
+        stream.write_all(head.as_bytes()).unwrap();
+        stream.write_all(&vec![b'x'; 500_000]).unwrap();
+        // The deadline is far over the test's patience: only an answer at once passes.
+        let got = Message::read(&mut stream).unwrap();
+        assert_eq!(got.status(), 502, "{}", got.head);
+        assert_eq!(tries.load(Ordering::Relaxed), number + 1);
+    }
+}
+
 #[test]
 fn a_client_that_leaves_in_mid_stream_frees_its_server() {
     let closed = Arc::new(AtomicBool::new(false));
--- a/crates/routing/benches/routes.rs
+++ b/crates/routing/benches/routes.rs
@@ -25,7 +25,7 @@
             7 => Host::Under(format!("team{}.example", n / 10)),
             _ => Host::Exact(host),
         };
-        let methods = if n % 3 == 0 { vec![Method::GET] } else { Vec::new() };
+        let methods = if n.is_multiple_of(3) { vec![Method::GET] } else { Vec::new() };
         Arc::new(Rule { hosts: vec![host], path, methods, ..Rule::default() })
     };
     (0..count).map(rule).collect()
