One reader of files, one place that closes at the planned end

Cause, from a second reading: three places read an operator's file; two fronts each closed connections at the planned end, and the admin listener, never told of it, stayed ready and kept its idle clients; a reload took stream-timeout over at once, though limits are read at the start, and compared limits with the wrong file. Change: check reads for all; the accept side closes for every front; the admin listener is told; limits stay those of the start; two unused items go. Result: the end's test asks /-/ready for 503 and waits in vain without the change; all other assertions stand.

--- a/crates/mintshelf/src/daemon.rs
+++ b/crates/mintshelf/src/daemon.rs
@@ -1,9 +1,9 @@
 //! The daemon: what an operator's file describes, in force until the next good one.
 
 use crate::admin::Admin;
+use crate::check;
 use mintshelf_balancer::api::ListedServer;
-use mintshelf_config::file;
-use mintshelf_config::model::{File, Route, Then};
+use mintshelf_config::model::{self, File, Route, Then};
 use mintshelf_config::module::{module, Module};
 use mintshelf_config::platform::Names;
 use mintshelf_proxy::clients::{Clients, Patience};
@@ -63,6 +63,10 @@
     limits: Limits,
     connections: Rc<Connections>,
     patience: Patience,
+    /// What the first file said of what can't change while the program runs.
+    fixed: (model::Limits, Option<SocketAddr>),
+    /// The planned end has begun.
+    ending: CancellationToken,
     /// All clients' connections.
     pub clients: Rc<Clients>,
     /// What was done.
@@ -75,11 +79,8 @@
 type Refused = Vec<String>;
 
 /// Reads a file; the errors are lines.
-pub fn read(path: &Path) -> Result<File, Refused> {
-    let name = path.display().to_string();
-    let bytes = std::fs::read(path).map_err(|e| vec![format!("{name}: {e}")])?;
-    file::read(&name, &bytes)
-        .map_err(|problems| problems.iter().map(|problem| problem.to_string()).collect())
+fn read(path: &Path) -> Result<File, Refused> {
+    check::read(path).map_err(|unusable| unusable.lines())
 }
 
 impl Daemon {
@@ -99,6 +100,8 @@
                 busy: longest.unwrap_or_default() + file.limits.stream_timeout,
                 by_progress: true,
             },
+            fixed: (file.limits.clone(), file.admin),
+            ending: CancellationToken::new(),
             clients: Rc::default(),
             counts: Rc::default(),
             reloads: Default::default(),
@@ -110,7 +113,7 @@
         if let Some(address) = admin {
             let listener = listen(address).map_err(|e| vec![format!("admin {address}: {e}")])?;
             let front = Rc::new(Admin { daemon: daemon.clone() });
-            daemon.accept(front, listener, CancellationToken::new());
+            daemon.accept(front, listener, daemon.ending.clone());
         }
         Ok(daemon)
     }
@@ -192,10 +195,8 @@
                 (None, None) => {}
             }
         }
-        if let Some(old) = &state.file {
-            if old.limits != file.limits || old.admin != file.admin {
-                eprintln!("mintshelf: limits and admin are in force from the next start on");
-            }
+        if self.fixed != (file.limits.clone(), file.admin) {
+            eprintln!("mintshelf: limits and admin are in force from the next start on");
         }
         state.file = Some(file);
         state.taken = Some(SystemTime::now());
@@ -211,7 +212,7 @@
             let style = Style::Plain {
                 failures: cluster.failure_statuses.clone(),
                 never_ran: cluster.never_ran_header.clone(),
-                stall: file.limits.stream_timeout,
+                stall: self.fixed.0.stream_timeout,
             };
             let same = |running: &Running| {
                 running.module.settings == module.settings
@@ -321,6 +322,7 @@
 
     /// Ends: no further client is taken, and what is open is answered.
     async fn end(&self) {
+        self.ending.cancel();
         let listeners = std::mem::take(&mut self.state.borrow_mut().listeners);
         listeners.values().for_each(|listening| listening.draining.cancel());
         sleep(LINGER).await;
--- a/crates/mintshelf/src/explain.rs
+++ b/crates/mintshelf/src/explain.rs
@@ -14,9 +14,12 @@
 
 /// Explains one request; what can't be understood is exit code 2.
 pub fn run(path: &Path, method: &str, url: &str, headers: &[String]) -> ExitCode {
-    let file = match check::load(path) {
+    let file = match check::read(path) {
         Ok(file) => file,
-        Err(code) => return code,
+        Err(unusable) => {
+            unusable.lines().iter().for_each(|line| eprintln!("{line}"));
+            return unusable.code();
+        }
     };
     match explain(&file, method, url, headers) {
         Ok(text) => {
--- a/crates/mintshelf/tests/swap.rs
+++ b/crates/mintshelf/tests/swap.rs
@@ -161,16 +161,27 @@
 
 #[test]
 fn the_end_answers_what_was_taken() {
-    let slow = Server::start(|_, _| {
-        thread::sleep(std::time::Duration::from_millis(700));
+    let hold = Arc::new(AtomicBool::new(true));
+    let held = hold.clone();
+    let slow = Server::start(move |_, _| {
+        while held.load(Ordering::Relaxed) {
+            thread::sleep(std::time::Duration::from_millis(5));
+        }
         Some(answer("slow"))
     });
     let at = free_address();
-    let mut daemon = Daemon::start(PROGRAM, at, &file(at, "slow", slow.at, slow.at), &[]);
+    let admin = free_address();
+    let text = file(at, "slow", slow.at, slow.at) + &format!("[admin]\naddress = \"{admin}\"\n");
+    let mut daemon = Daemon::start(PROGRAM, at, &text, &[]);
     let mut open = connect(at).unwrap();
     open.write_all(&get("/x")).unwrap();
     wait_until("it is at the server", || slow.seen().len() == 1);
+    assert_eq!(ask(admin, &get("/-/ready")).unwrap().status(), 200);
     daemon.signal("TERM");
+    wait_until("the end is told", || {
+        ask(admin, &get("/-/ready")).is_some_and(|answer| answer.status() == 503)
+    });
+    hold.store(false, Ordering::Relaxed);
     assert_eq!(Message::read(&mut open).unwrap().body, b"slow");
     wait_until("it ends", || daemon.child.try_wait().unwrap().is_some());
     assert!(daemon.child.wait().unwrap().success());
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -45,7 +46,8 @@
 
 /// What answers the requests of a connection.
 pub trait Front: 'static {
-    /// Answers one request; `draining` once the planned end has been announced. Where it
+    /// Answers one request; `draining` once the planned end has been announced, when every
+    /// answer closes its connection, whatever the front says. Where it
     /// sends on what it reads it enters [`Phase::Busy`] on the client first.
     fn respond(
         self: Rc<Self>,
@@ -170,7 +172,11 @@
             let (front, client) = (self.front.clone(), client.clone());
             let draining = self.draining.is_cancelled();
             Box::pin(async move {
-                let response = front.respond(client.clone(), request, draining).await;
+                let mut response = front.respond(client.clone(), request, draining).await;
+                if draining {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(header::CONNECTION, close);
+                }
                 client.enter(Phase::Busy);
                 Ok::<_, Infallible>(response.map(|body| Outgoing { body, client }))
             })
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -125,20 +125,16 @@
         self: Rc<Self>,
         client: Rc<Client>,
         request: Request<Incoming>,
-        draining: bool,
+        _draining: bool,
     ) -> Response<FrontBody> {
         let serving = self.serving.borrow().clone();
         let bare = request.method() == Method::HEAD;
         let answered = self.answer(&serving, &client, request).await;
-        let mut response = answered.unwrap_or_else(|refusal| {
+        let response = answered.unwrap_or_else(|refusal| {
             let mut refusals = self.counts.refusals.borrow_mut();
             *refusals.entry(refusal.code).or_default() += 1;
             refusal.response(bare)
         });
-        if draining {
-            let close = HeaderValue::from_static("close");
-            response.headers_mut().insert(header::CONNECTION, close);
-        }
         *self.counts.statuses.borrow_mut().entry(response.status().as_u16()).or_default() += 1;
         response
     }
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -48,7 +48,7 @@
         request: Request<Incoming>,
         draining: bool,
     ) -> Response<FrontBody> {
-        let mut last = draining;
+        let mut last = false;
         let mut headers = HeaderMap::new();
         let (status, body) = if request.uri().path() == "/-/ready" {
             match draining {
