Carry attempts in the client's task, and read sockets once

The daemon did half of the least relay's requests a second. Every read asked the kernel twice, since the socket's wrapper could not tell a short read; every attempt was a task of its own that handed its answer over a channel; room for 256 headers was filled for every message.

--- a/crates/mintshelf/benches/relay.rs
+++ b/crates/mintshelf/benches/relay.rs
@@ -223,11 +223,15 @@
         "{CONNECTIONS} connections, 256 bytes an answer, {ROUNDS} rounds of {SPAN:?}, medians"
     );
     let mut all: [Vec<[f64; 4]>; 3] = Default::default();
+    let mut growth = Vec::new();
+    let mut done = 0.0;
     for _ in 0..ROUNDS {
         let ways = [(SERVERS[0], None), (RELAY, Some(&relay)), (DAEMON, Some(&daemon))];
         for (way, results) in ways.into_iter().zip(&mut all) {
             results.push(measure(way.0, way.1)?);
         }
+        done += all[2].last().map_or(0.0, |r| r[0] * (SPAN + WARM).as_secs_f64());
+        growth.push(format!("{} KiB after {done:.0} requests", daemon.memory()));
     }
     let median = |results: &[[f64; 4]]| {
         [0, 1, 2, 3].map(|at| {
@@ -258,6 +262,7 @@
         ratio[3],
         memory[1] as f64 / memory[0].max(1) as f64
     );
+    println!("mintshelf's memory: {}", growth.join(", "));
     std::fs::remove_file(file)?;
     Ok(())
 }
--- a/crates/mintshelf/tests/plain.rs
+++ b/crates/mintshelf/tests/plain.rs
@@ -56,6 +56,29 @@
     assert_eq!(server.seen().len(), 15);
 }
 
+#[test]
+fn a_head_of_a_hundred_headers_passes_and_a_longer_one_is_refused() {
+    let server = Server::start(|request, _| {
+        let more: usize = request.path()[1..].parse().unwrap_or(0);
+        let more: String = (0..more).map(|n| format!("X-{n}: 1\r\n")).collect();
+        Some(format!("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n{more}\r\n").into_bytes())
+    });
+    let daemon = daemon(&[server.at], "");
+    let with = |answered: usize, asked: usize| {
+        let more: String = (0..asked).map(|n| format!("X-{n}: 1\r\n")).collect();
+        let head = format!("POST /{answered} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n");
+        all(daemon.at, &format!("{head}{more}\r\n"))
+    };
+    let text = with(99, 98);
+    assert!(text.starts_with("HTTP/1.1 200 ") && text.contains("x-98: 1"), "{text}");
+    let before = server.seen().len();
+    assert!(with(0, 99).starts_with("HTTP/1.1 431 "));
+    assert_eq!(server.seen().len(), before, "none of it goes on");
+    // It may have run, and is not sent again.
+    assert!(with(100, 0).starts_with("HTTP/1.1 502 "));
+    assert_eq!(server.seen().len(), before + 1);
+}
+
 #[test]
 fn head_informational_answers_expect_and_trailers() {
     let server = Server::start(|request, _| {
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -1,13 +1,12 @@
 //! Clients' connections as the rest of the program sees them: phases, limits, eviction.
 
 use crate::scan::Scan;
-use crate::socket::{pending, Pending, Watcher};
+use crate::socket::{pending, Pending, Stream, Watcher};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -45,7 +44,7 @@
 /// One connection as seen from outside its task.
 #[derive(Debug)]
 pub struct Client {
-    stream: Rc<TcpStream>,
+    stream: Stream,
     /// The other side.
     pub peer: SocketAddr,
     phase: Cell<Phase>,
@@ -62,7 +61,7 @@
 
 impl Client {
     /// A connection that was just accepted.
-    pub fn new(stream: Rc<TcpStream>, peer: SocketAddr, patience: Patience) -> Self {
+    pub fn new(stream: Stream, peer: SocketAddr, patience: Patience) -> Self {
         Client {
             stream,
             peer,
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -247,7 +247,7 @@
     async fn open(to: SocketAddr) -> Option<Self> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
-        let socket = Socket::new(Rc::new(stream), Rc::new(Nothing), Bytes::new());
+        let socket = Socket::new(Rc::new(stream.into()), Rc::new(Nothing), Bytes::new());
         let (send, driven) = handshake(TokioIo::new(socket)).await.ok()?;
         Some(Line { send, driven: Box::pin(driven), up: true })
     }
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -8,6 +8,7 @@
 use crate::message::parse_report;
 use crate::peers::Peers;
 use crate::probe::Probing;
+use crate::seat::{Cancel, Seat, Sitting};
 use crate::upstream::{Answer, AnswerBody, Connections, Ended, Style, To, Upstream};
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::Request;
@@ -21,10 +22,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{oneshot, OwnedSemaphorePermit};
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::Instant;
-use tokio_util::sync::CancellationToken;
 use tokio_util::time::{delay_queue, DelayQueue};
 
 /// Tells a server how long this sidecar will wait.
@@ -74,7 +74,7 @@
     message: Message,
     deadline: Nanos,
     /// Absent once the client has its answer, or has left.
-    reply: Option<oneshot::Sender<Reply>>,
+    reply: Option<Rc<Seat<Reply>>>,
     attempts: Vec<Attempt>,
     out: usize,
     /// A server's answer that counts as a failure, passed on if nothing better comes.
@@ -85,7 +85,7 @@
 struct Attempt {
     server: ServerId,
     sent: Nanos,
-    cancel: CancellationToken,
+    cancel: Rc<Cancel>,
 }
 
 struct Core {
@@ -315,7 +315,7 @@
     /// for a request whose id is that of one still open. Danger: a server would
     /// take it for a second copy of that one.
     pub async fn serve(self: &Rc<Self>, arrival: Arrival, message: Message) -> Option<Reply> {
-        let (reply, answer) = oneshot::channel();
+        let seat = Rc::new(Seat::default());
         let id: RequestId = {
             let mut core = self.core.borrow_mut();
             if message.txn.as_ref().is_some_and(|txn| !core.open.insert(txn.clone())) {
@@ -327,7 +327,7 @@
             let taken = Taken {
                 message,
                 deadline,
-                reply: Some(reply),
+                reply: Some(seat.clone()),
                 attempts: Vec::new(),
                 out: 0,
                 kept: None,
@@ -346,15 +346,15 @@
             self.turn(&mut core);
             id
         };
-        let _leaving = Leaving { driver: self, id };
-        Some(answer.await.unwrap_or(Reply::Failed { timed_out: false }))
+        let mut waiting = Waiting { driver: self, id, sitting: Sitting::new(seat) };
+        Some(waiting.sitting.answer().await)
     }
 
     fn send(self: &Rc<Self>, core: &mut Core, id: RequestId, server: ServerId, timeout_at: Nanos) {
         let now = self.clock.now();
         let Some(taken) = core.taken.get_mut(&id) else { return };
         let number = taken.attempts.len() as u32;
-        let cancel = CancellationToken::new();
+        let cancel = Rc::new(Cancel::default());
         let attempt = Attempt { server, sent: now, cancel: cancel.clone() };
         taken.attempts.push(attempt);
         taken.out += 1;
@@ -362,13 +362,13 @@
             0 => taken.deadline,
             at => at.min(taken.deadline),
         };
-        let concluded = taken.reply.is_none();
         let exceeded = taken.attempts.len() > self.max_attempts;
-        if concluded || exceeded || until <= now {
+        let client = taken.reply.clone().filter(|_| !exceeded && until > now);
+        let Some(client) = client else {
             let end = core.end_attempt(&id, number, Outcome::Unused, None, now);
             core.events.extend(end);
             return;
-        }
+        };
         let to = self.to(server);
         let mut message = taken.message.request.clone();
         if self.style == Style::Platform {
@@ -386,7 +386,7 @@
         }
         let until = self.clock.instant(until);
         let attempt = AttemptRun { driver: self.clone(), id, number };
-        spawn_local(attempt.run(to, message, until, cancel));
+        client.start(Box::pin(attempt.run(to, message, until, cancel)));
     }
 
     fn attempt_ended(
@@ -451,12 +451,10 @@
             (Reply::Failed { .. }, None) => Reply::Failed { timed_out: taken.timed_out },
             (reply, _) => reply,
         };
-        let undelivered = match taken.reply.take() {
-            Some(client) => client.send(reply).err(),
-            None => Some(reply),
-        };
+        let Some(client) = taken.reply.take() else { return Some(reply) };
+        client.reply(reply);
         self.forget(id);
-        undelivered
+        None
     }
 
     /// Drops a request's record once nothing more can come of it.
@@ -505,7 +503,7 @@
         to: Option<To>,
         message: Request<Outbound>,
         until: Instant,
-        cancel: CancellationToken,
+        cancel: Rc<Cancel>,
     ) {
         let driver = &self.driver;
         let ended = match to {
@@ -548,14 +546,16 @@
     }
 }
 
-/// Tells the module of a client that left before its answer.
-struct Leaving<'a> {
+/// A client's wait; dropped before its answer, it tells the module that the client has left.
+struct Waiting<'a> {
     driver: &'a Rc<Driver>,
     id: RequestId,
+    sitting: Sitting<Reply>,
 }
 
-impl Drop for Leaving<'_> {
+impl Drop for Waiting<'_> {
     fn drop(&mut self) {
+        self.sitting.leave();
         let mut core = self.driver.core.borrow_mut();
         let left = core.taken.get_mut(&self.id).and_then(|taken| taken.reply.take());
         if left.is_some() {
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -2,7 +2,7 @@
 
 use crate::clients::{Client, Clients, Patience, Phase};
 use crate::limits::Limits;
-use crate::socket::{close_gently, pending, Pending, Socket};
+use crate::socket::{close_gently, pending, Pending, Socket, Stream};
 use crate::stream::ServerStream;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -12,6 +12,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
 use std::io;
@@ -32,8 +33,6 @@
 const BACKLOG: i32 = 4096;
 /// Largest head of a request, and the most that the library buffers each way.
 const BUFFER_MAX: usize = 32 << 10;
-/// Most headers in a request.
-const HEADERS_MAX: usize = 256;
 /// With few places left, idle connections are closed after this.
 const IDLE_LEAST: Duration = Duration::from_secs(2);
 /// Part of the places under which few are left.
@@ -46,6 +45,10 @@
 
 /// What answers the requests of a connection.
 pub trait Front: 'static {
+    /// Most headers in a request, where that is not the library's 100: the library is faster
+    /// with its own.
+    const HEADERS_MAX: Option<usize> = None;
+
     /// Answers one request; `draining` once the planned end has been announced, when every
     /// answer closes its connection, whatever the front says. Where it
     /// sends on what it reads it enters [`Phase::Busy`] on the client first.
@@ -139,7 +142,7 @@
         if stream.set_nodelay(true).is_err() {
             return;
         }
-        let stream = Rc::new(stream);
+        let stream = Rc::new(RefCell::new(stream));
         let client = Rc::new(Client::new(stream.clone(), peer, self.patience));
         let number = self.clients.add(client.clone());
         let mut prefix = Bytes::new();
@@ -161,12 +164,7 @@
     }
 
     /// Serves a connection until a side ends it.
-    async fn serve(
-        self: &Rc<Self>,
-        stream: &Rc<TcpStream>,
-        client: &Rc<Client>,
-        prefix: Bytes,
-    ) -> Close {
+    async fn serve(self: &Rc<Self>, stream: &Stream, client: &Rc<Client>, prefix: Bytes) -> Close {
         let socket = Socket::new(stream.clone(), client.clone(), prefix);
         let service = service_fn(|request| {
             let (front, client) = (self.front.clone(), client.clone());
@@ -182,7 +180,10 @@
             })
         });
         let mut builder = http1::Builder::new();
-        builder.max_buf_size(BUFFER_MAX).max_headers(HEADERS_MAX);
+        builder.max_buf_size(BUFFER_MAX);
+        if let Some(most) = F::HEADERS_MAX {
+            builder.max_headers(most);
+        }
         let mut connection = builder.serve_connection(TokioIo::new(socket), service);
         let ended = tokio::select! {
             biased;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod probe;
 pub mod refusal;
 pub mod scan;
+pub mod seat;
 pub mod socket;
 pub mod stream;
 pub mod upstream;
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -60,6 +60,9 @@
 /// Longest body of a request or an answer; both sides keep to it.
 pub const BODY_MAX: usize = 64 << 10;
 
+/// Most headers in a message on the platform, either way.
+pub const HEADERS_MAX: usize = 256;
+
 /// A header's value as text; absent if it is not.
 pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok().map(str::trim)
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -5,7 +5,7 @@
 use crate::driver::{Arrival, Driver, Message, Reply};
 use crate::inbound::{Front, FrontBody};
 use crate::limits::Limits;
-use crate::message::{strip_hop_by_hop, text, Held, BODY_MAX};
+use crate::message::{strip_hop_by_hop, text, Held, BODY_MAX, HEADERS_MAX};
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
@@ -42,6 +42,8 @@
 }
 
 impl Front for Platform {
+    const HEADERS_MAX: Option<usize> = Some(HEADERS_MAX);
+
     async fn respond(
         self: Rc<Self>,
         client: Rc<Client>,
--- /dev/null
+++ b/crates/proxy/src/seat.rs
@@ -0,0 +1,180 @@
+//! Where a client's task waits for its answer, and carries the attempts meanwhile: one
+//! task for both saves a hand-over between tasks, twice a request.
+
+use std::cell::{Cell, RefCell};
+use std::future::{poll_fn, Future};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use tokio::task::spawn_local;
+
+/// An attempt on its way.
+pub type Run = Pin<Box<dyn Future<Output = ()>>>;
+
+/// A place for one answer, and for the attempts that are to begin.
+pub struct Seat<R> {
+    reply: Cell<Option<R>>,
+    starts: RefCell<Vec<Run>>,
+    waker: Cell<Option<Waker>>,
+}
+
+impl<R> Default for Seat<R> {
+    fn default() -> Self {
+        Seat { reply: Cell::new(None), starts: RefCell::default(), waker: Cell::new(None) }
+    }
+}
+
+impl<R> Seat<R> {
+    /// Gives the answer.
+    pub fn reply(&self, reply: R) {
+        self.reply.set(Some(reply));
+        self.wake();
+    }
+
+    /// Has the waiting task carry an attempt.
+    pub fn start(&self, run: Run) {
+        self.starts.borrow_mut().push(run);
+        self.wake();
+    }
+
+    fn wake(&self) {
+        if let Some(waker) = self.waker.take() {
+            waker.wake();
+        }
+    }
+}
+
+/// The task that sits on a [`Seat`].
+pub struct Sitting<R> {
+    seat: Rc<Seat<R>>,
+    running: Vec<Run>,
+}
+
+impl<R> Sitting<R> {
+    /// Sits down.
+    pub fn new(seat: Rc<Seat<R>>) -> Self {
+        Sitting { seat, running: Vec::new() }
+    }
+
+    /// Carries the attempts until the answer is there.
+    pub async fn answer(&mut self) -> R {
+        poll_fn(|cx| self.poll(cx)).await
+    }
+
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<R> {
+        loop {
+            self.running.append(&mut self.seat.starts.borrow_mut());
+            // Danger: an attempt that ends may start the next one.
+            self.running.retain_mut(|run| run.as_mut().poll(cx).is_pending());
+            if let Some(reply) = self.seat.reply.take() {
+                return Poll::Ready(reply);
+            }
+            if self.seat.starts.borrow().is_empty() {
+                self.seat.waker.set(Some(cx.waker().clone()));
+                return Poll::Pending;
+            }
+        }
+    }
+
+    /// Lets the attempts that have not ended go on without a client: each still has to
+    /// tell how it ended.
+    pub fn leave(&mut self) {
+        self.running.append(&mut self.seat.starts.borrow_mut());
+        for run in self.running.drain(..) {
+            spawn_local(run);
+        }
+    }
+}
+
+/// Tells an attempt to stop.
+#[derive(Default)]
+pub struct Cancel {
+    cancelled: Cell<bool>,
+    waker: Cell<Option<Waker>>,
+}
+
+impl Cancel {
+    /// Stops it.
+    pub fn cancel(&self) {
+        self.cancelled.set(true);
+        if let Some(waker) = self.waker.take() {
+            waker.wake();
+        }
+    }
+
+    /// Waits until it is to stop; for one waiting task.
+    pub async fn cancelled(&self) {
+        poll_fn(|cx| match self.cancelled.get() {
+            true => Poll::Ready(()),
+            false => {
+                self.waker.set(Some(cx.waker().clone()));
+                Poll::Pending
+            }
+        })
+        .await
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::task::{yield_now, LocalSet};
+
+    fn run(test: impl Future<Output = ()>) {
+        let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
+        LocalSet::new().block_on(&runtime, test);
+    }
+
+    #[test]
+    fn an_attempt_that_ends_starts_the_next_and_that_one_answers() {
+        run(async {
+            let seat = Rc::new(Seat::default());
+            let first = seat.clone();
+            seat.start(Box::pin(async move {
+                yield_now().await;
+                let second = first.clone();
+                first.start(Box::pin(async move {
+                    yield_now().await;
+                    second.reply(7);
+                }));
+            }));
+            assert_eq!(Sitting::new(seat).answer().await, 7);
+        });
+    }
+
+    #[test]
+    fn an_attempt_begun_from_elsewhere_wakes_the_client() {
+        run(async {
+            let seat = Rc::new(Seat::default());
+            let (starter, answerer) = (seat.clone(), seat.clone());
+            spawn_local(async move {
+                yield_now().await;
+                starter.start(Box::pin(async move { answerer.reply("here") }));
+            });
+            assert_eq!(Sitting::new(seat).answer().await, "here");
+        });
+    }
+
+    #[test]
+    fn attempts_go_on_when_the_client_leaves_and_hear_that_they_are_to_stop() {
+        run(async {
+            let seat: Rc<Seat<()>> = Rc::default();
+            let (cancel, ended) = (Rc::new(Cancel::default()), Rc::new(Cell::new(0)));
+            for _ in 0..2 {
+                let (cancel, ended) = (cancel.clone(), ended.clone());
+                seat.start(Box::pin(async move {
+                    if ended.get() == 0 {
+                        cancel.cancelled().await;
+                    }
+                    ended.set(ended.get() + 1);
+                }));
+            }
+            let mut sitting = Sitting::new(seat);
+            sitting.leave();
+            cancel.cancel();
+            while ended.get() < 2 {
+                yield_now().await;
+            }
+        });
+    }
+}
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -3,6 +3,8 @@
 
 use bytes::{Buf, Bytes};
 use socket2::SockRef;
+use std::cell::RefCell;
+use std::future::poll_fn;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
@@ -24,10 +26,13 @@
     fn flushed(&self) {}
 }
 
+/// A stream that the library uses while others look at it; never borrowed over a wait.
+pub type Stream = Rc<RefCell<TcpStream>>;
+
 /// The socket as the HTTP library sees it.
 #[derive(Debug)]
 pub struct Socket<W> {
-    stream: Rc<TcpStream>,
+    stream: Stream,
     watcher: Rc<W>,
     /// Bytes that are to be read before the socket's own.
     prefix: Bytes,
@@ -35,7 +40,7 @@
 
 impl<W> Socket<W> {
     /// Wraps a stream; `prefix` is read first.
-    pub fn new(stream: Rc<TcpStream>, watcher: Rc<W>, prefix: Bytes) -> Self {
+    pub fn new(stream: Stream, watcher: Rc<W>, prefix: Bytes) -> Self {
         Socket { stream, watcher, prefix }
     }
 }
@@ -53,19 +58,12 @@
             self.watcher.read(&bytes);
             return Poll::Ready(Ok(()));
         }
-        loop {
-            ready!(self.stream.poll_read_ready(cx))?;
-            let room = buf.initialize_unfilled();
-            match self.stream.try_read(room) {
-                Ok(count) => {
-                    self.watcher.read(&room[..count]);
-                    buf.advance(count);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
-        }
+        // The stream's own way: it knows from a short read that no more is there, and
+        // saves asking the kernel again.
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf))?;
+        self.watcher.read(&buf.filled()[before..]);
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -75,17 +73,9 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.stream.poll_write_ready(cx))?;
-            match self.stream.try_write(bytes) {
-                Ok(count) => {
-                    self.watcher.wrote(&bytes[..count]);
-                    return Poll::Ready(Ok(count));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
-        }
+        let count = ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, bytes))?;
+        self.watcher.wrote(&bytes[..count]);
+        Poll::Ready(Ok(count))
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -94,7 +84,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
+        Poll::Ready(SockRef::from(&*self.stream.borrow()).shutdown(Shutdown::Write))
     }
 }
 
@@ -110,9 +100,9 @@
 }
 
 /// Asks the kernel itself, since the reactor may not have heard yet.
-pub fn pending(stream: &TcpStream) -> Pending {
+pub fn pending(stream: &Stream) -> Pending {
     let mut byte = [MaybeUninit::uninit()];
-    match SockRef::from(stream).peek(&mut byte) {
+    match SockRef::from(&*stream.borrow()).peek(&mut byte) {
         Ok(0) => Pending::End,
         Ok(_) => Pending::Bytes,
         Err(e) if e.kind() == io::ErrorKind::WouldBlock => Pending::Nothing,
@@ -128,19 +118,20 @@
 /// Ends sending, then reads what still comes, for a while. Danger: a socket
 /// closed with bytes unread is reset, and the reset may destroy an answer that
 /// the peer has not read yet.
-pub async fn close_gently(stream: &TcpStream) {
-    if SockRef::from(stream).shutdown(Shutdown::Write).is_err() {
+pub async fn close_gently(stream: &Stream) {
+    if SockRef::from(&*stream.borrow()).shutdown(Shutdown::Write).is_err() {
         return;
     }
     let until = Instant::now() + LINGER;
     let mut scratch = [0; 4096];
     let mut left = LINGER_BYTES;
     while left > 0 {
-        match timeout_at(until, stream.readable()).await {
+        let readable = poll_fn(|cx| stream.borrow().poll_read_ready(cx));
+        match timeout_at(until, readable).await {
             Ok(Ok(())) => {}
             _ => return,
         }
-        match stream.try_read(&mut scratch) {
+        match stream.borrow().try_read(&mut scratch) {
             Ok(0) => return,
             Ok(count) => left = left.saturating_sub(count),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -2,8 +2,9 @@
 
 use crate::body::Outbound;
 use crate::limits::Limits;
-use crate::message::{text, BODY_MAX};
-use crate::socket::{pending, Pending, Socket, Watcher};
+use crate::message::{text, BODY_MAX, HEADERS_MAX};
+use crate::seat::Cancel;
+use crate::socket::{pending, Pending, Socket, Stream, Watcher};
 use crate::stream::ServerStream;
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Frame, Incoming};
@@ -24,12 +25,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
-use tokio_util::sync::CancellationToken;
 
 /// Largest head of an answer, and the most that the library buffers each way.
 const BUFFER_MAX: usize = 32 << 10;
-/// Most headers in an answer.
-const HEADERS_MAX: usize = 256;
 /// An answer that stops half-way for so long will not be whole. Servers write one
 /// in one go, so this catches lengths that are too long, heads that don't end and
 /// servers cut off while they write; it would harm one that writes bit by bit.
@@ -112,7 +110,7 @@
 pub(crate) struct Link {
     send: SendRequest<Outbound>,
     driven: Option<Pin<Box<Driven>>>,
-    stream: Rc<TcpStream>,
+    stream: Stream,
     meter: Rc<Meter>,
     to: To,
     /// Its place among the idle ones.
@@ -374,10 +372,13 @@
         let up = async {
             let stream = TcpStream::connect(to.address).await.ok()?;
             stream.set_nodelay(true).ok()?;
-            let (stream, meter) = (Rc::new(stream), Rc::new(Meter::default()));
+            let (stream, meter) = (Rc::new(RefCell::new(stream)), Rc::new(Meter::default()));
             let socket = Socket::new(stream.clone(), meter.clone(), Bytes::new());
             let mut builder = Builder::new();
-            builder.max_buf_size(BUFFER_MAX).max_headers(HEADERS_MAX);
+            builder.max_buf_size(BUFFER_MAX);
+            if self.style == Style::Platform {
+                builder.max_headers(HEADERS_MAX);
+            }
             let (send, driven) = builder.handshake(TokioIo::new(socket)).await.ok()?;
             let driven = Some(Box::pin(driven));
             let rested = Instant::now();
@@ -394,7 +395,7 @@
         to: To,
         request: Request<Outbound>,
         until: Instant,
-        cancel: &CancellationToken,
+        cancel: &Cancel,
     ) -> Ended {
         let meter = RefCell::new(None);
         let (upload, stall) = match (request.body(), &self.style) {
