Weigh a server's failure by how usual failures are anywhere

Three in a row put a server out for 2 s and longer, so chance took sound servers out while half of the fleet restarted; the rest then jammed, and 18 to 42% was refused for seconds (module trace).

An attempt that failed now counts by the log of the usual share of failures, whole where one in a hundred fails or fewer, half where one in ten does.

--- a/crates/balancer/src/decide/attempts.rs
+++ b/crates/balancer/src/decide/attempts.rs
@@ -14,6 +14,9 @@
 /// Nor before this many times what its known work usually takes; nor what the
 /// class usually takes on that kind, there up to the aim. 1.5 is within its spread.
 const OVERDUE_AT: f64 = 2.0;
+/// Weight of an attempt in the usual share of failures, and such a share that lets each count.
+const USUAL_FAILS_GAIN: f64 = 0.005;
+const RARE_FAILS: f64 = 0.01;
 /// What a "queue full" answer counts as, of a congested attempt.
 const FULL_COUNTS: f64 = 0.3;
 
@@ -179,6 +182,10 @@
             server.in_flight = server.in_flight.saturating_sub(1);
             server.overdue = server.overdue.saturating_sub(u32::from(overdue));
             self.line_stale |= overdue;
+            // Danger: where all fail now and then, chance alone makes rows of failures.
+            let failed = f64::from(u8::from(outcome.failed()));
+            self.usual_fails += USUAL_FAILS_GAIN * (failed - self.usual_fails);
+            let counts = self.usual_fails.log(RARE_FAILS).clamp(0.0, 1.0);
             match outcome {
                 Outcome::Ok => {
                     server.answered = server.answered.max(sent);
@@ -190,7 +197,7 @@
                     self.learn(now, s, (class, cost, took), false);
                     self.record_failure(now, s, 0.5);
                 }
-                o if o.failed() => self.record_failure(now, s, 1.0),
+                o if o.failed() => self.record_failure(now, s, counts),
                 _ => {}
             }
         }
--- a/crates/balancer/src/decide/discovery.rs
+++ b/crates/balancer/src/decide/discovery.rs
@@ -44,13 +44,12 @@
         for entry in list {
             self.on_entry(now, entry);
         }
-        let servers = &self.servers;
-        self.order = (0..servers.len()).collect();
-        self.order.retain(|s| servers[*s].listed.condition != Condition::Gone);
+        let here = |s: &usize| self.servers[*s].listed.condition != Condition::Gone;
+        self.order = (0..self.servers.len()).filter(here).collect();
         // Its idle connections are of no use, and cost both sides descriptors.
         let leaving = list.iter().filter(|entry| entry.condition != Condition::Live);
         out.extend(leaving.map(|entry| Action::CloseIdle { server: entry.id }));
-        self.order.sort_by_key(|s| (servers[*s].rank, servers[*s].listed.id));
+        self.order.sort_by_key(|s| (self.servers[*s].rank, self.servers[*s].listed.id));
         self.line_stale = true;
     }
 
--- a/crates/balancer/src/decide/health.rs
+++ b/crates/balancer/src/decide/health.rs
@@ -103,8 +103,7 @@
         if (REPORT_FRESH..SECOND).contains(&gap) && (moved || queue > 0.0) {
             self.reports[usize::from(moved)] += 1;
         }
-        server.report = report.to_vec();
-        (server.report_queue, server.report_at) = (queue, now);
+        (server.report, server.report_queue, server.report_at) = (report.to_vec(), queue, now);
         if value(ReportField::ErrorsPerS).is_some_and(|e| e > 1.0 && e > ERROR_SHARE * usual) {
             self.record_failure(now, s, EJECT_AFTER);
         }
--- a/crates/balancer/src/decide/line.rs
+++ b/crates/balancer/src/decide/line.rs
@@ -165,8 +165,7 @@
             Line::new(fit.map(|s| (*s, self.speed_for(c, *s, now))))
         };
         self.lines = (0..self.set.classes.len()).map(of).collect();
-        self.line_at = now;
-        self.line_stale = false;
+        (self.line_at, self.line_stale) = (now, false);
     }
 
     /// Draws by the line, less the servers the request may not go to.
--- a/crates/balancer/src/decide/mod.rs
+++ b/crates/balancer/src/decide/mod.rs
@@ -145,6 +145,8 @@
     born: Nanos,
     told_at: Nanos,
     retry_credit: f64,
+    /// Share of attempts that fail, at any server.
+    usual_fails: f64,
     refuse_level: f64,
     usual_level: f64,
     level_at: Nanos,
