Hold the refused level steady at high rates; two panic thresholds

An ended attempt moved the refused level by 0.03 at least, at 300 a second sixteen times what its gain of 0.4 a second asks for, so one burst of late answers refused half of the next second. One overdue answer put a sound server out of the line, which with half of the fleet down brought the dead ones back. And resets of a tenth of all attempts used up a retry budget of a tenth.

The least step is 0.01, late servers come back under one threshold and failed ones under a lower one, and the retry budget is a fifth.

--- a/crates/balancer/src/decide/admission.rs
+++ b/crates/balancer/src/decide/admission.rs
@@ -12,7 +12,7 @@
 const USUAL_SPAN: Nanos = 15 * SECOND;
 const ABOVE_GAIN: f64 = 2.0;
 /// Bounds of what one ended attempt moves it by.
-const ADMIT_STEP_MIN: f64 = 0.03;
+const ADMIT_STEP_MIN: f64 = 0.01;
 const ADMIT_STEP_MAX: f64 = 0.15;
 /// With no attempt ended for so long, the refused share fades by 1/e in the time below.
 const ADMIT_SILENCE: Nanos = SECOND;
--- a/crates/balancer/src/decide/attempts.rs
+++ b/crates/balancer/src/decide/attempts.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// Retries and second copies allowed per request, and the most saved up.
-const RETRY_RATIO: f64 = 0.1;
+const RETRY_RATIO: f64 = 0.2;
 pub(super) const RETRY_SAVED: f64 = 5.0;
 /// A request without a server is looked at again after this.
 const HOLD_STEP: Nanos = 40 * MS;
--- a/crates/balancer/src/decide/line.rs
+++ b/crates/balancer/src/decide/line.rs
@@ -17,8 +17,9 @@
 const SUBSET_USES: f64 = 12.0;
 /// A server is ready for a request of known work if it takes this part of the aim or less.
 const FIT_SHARE: f64 = 0.8;
-/// Under this ready share of the listed size, ejections are ignored (panic threshold).
+/// Under these shares of the listed size, answers overdue and ejections are ignored.
 const PANIC_SHARE: f64 = 0.5;
+const LOST_SHARE: f64 = 0.3;
 
 /// The paper's line over servers of unequal speed: shares, pairs, ties.
 #[derive(Debug, Clone, Default)]
@@ -141,16 +142,15 @@
         }
         let live: Vec<usize> =
             self.order.iter().copied().filter(|s| !self.servers[*s].leaving()).collect();
-        let fit = |s: &&usize| {
-            let server = &self.servers[**s];
-            server.ejected_until <= now && server.overdue == 0
-        };
+        let up = |s: &usize| self.servers[*s].ejected_until <= now;
+        let calm = |s: &usize| up(s) && self.servers[*s].overdue == 0;
         let size = |s: &usize| self.servers[*s].listed.size;
-        let all: f64 = live.iter().map(size).sum();
-        let ready: f64 = live.iter().filter(fit).map(size).sum();
-        // Panic threshold: when most look bad, the fault is likely elsewhere.
-        let panic = ready < PANIC_SHARE * all;
-        let mut chosen: Vec<usize> = live.iter().filter(|s| panic || fit(s)).copied().collect();
+        let sum = |f: &dyn Fn(&usize) -> bool| live.iter().filter(|s| f(s)).map(size).sum::<f64>();
+        // Panic thresholds: when most look bad, the fault is elsewhere; the late come back first.
+        let late = sum(&calm) < PANIC_SHARE * sum(&|_| true);
+        let lost = sum(&up) < LOST_SHARE * sum(&|_| true);
+        let mut chosen = live.clone();
+        chosen.retain(|s| lost || calm(s) || late && up(s));
         let uses = self.arrival_rate(now) * self.set.idle_timeout as f64 / SECOND as f64;
         // Danger: instances that outnumber servers hold hundreds of connections each.
         let held = f64::from(self.set.instances) / live.len().max(1) as f64;
