Pace traffic to a cluster that comes back, and spread Retry-After

After an outage of a whole cluster all traffic, repeats and come-backs met it at once, and all who were refused were told the same second, or nothing at all where no server was there.

On operators' routes only; the platform's sidecar is as it was.

--- a/crates/config/src/file/clusters.rs
+++ b/crates/config/src/file/clusters.rs
@@ -47,6 +47,7 @@
     let never_ran = table.parsed("never-ran-header", HEADER, header_name);
     let connect = table.duration("connect-timeout", ms(200), ms(1)..=Duration::from_secs(60));
     let retry = table.duration("max-retry-after", ms(10_000), ms(1_000)..=EVER);
+    let ramp = table.duration("return-ramp", ms(2_000), ms(0)..=Duration::from_secs(600));
     let idle = table.duration("idle-timeout", ms(15_000), ms(100)..=EVER);
     let warm_up = table.duration("warm-up", Duration::ZERO, ms(0)..=EVER);
     let warm_from = table.number("warm-from", 0.3, 0.01..=1.0);
@@ -66,6 +67,7 @@
         warm_up: warm_up.value,
         warm_from: warm_from.value,
         max_retry_after: retry.value,
+        return_ramp: ramp.value,
     }
 }
 
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -81,6 +81,9 @@
     pub warm_from: f64,
     /// Longest advice on when to come back.
     pub max_retry_after: Duration,
+    /// Shortest time in which traffic returns after an outage of the whole cluster; 0 for
+    /// all at once.
+    pub return_ramp: Duration,
 }
 
 /// One server of a cluster.
--- a/crates/config/src/module.rs
+++ b/crates/config/src/module.rs
@@ -35,6 +35,8 @@
     pub classes: BTreeMap<String, ModuleClass>,
     /// Its servers, with their addresses.
     pub servers: Vec<(ListedServer, SocketAddr)>,
+    /// The ramp after an outage.
+    pub return_ramp: Nanos,
 }
 
 /// A number for an effect, the mildest first.
@@ -130,7 +132,8 @@
         },
         ..Settings::default()
     };
-    Module { settings, classes, servers: servers.collect() }
+    let return_ramp = nanos(cluster.return_ramp);
+    Module { settings, classes, servers: servers.collect(), return_ramp }
 }
 
 #[cfg(test)]
--- a/crates/mintshelf/src/admin.rs
+++ b/crates/mintshelf/src/admin.rs
@@ -93,6 +93,10 @@
         gauges("open_requests", "Requests that have no answer yet", "cluster", open);
         gauges("timers", "Timers set for open requests", "cluster", of(1));
         gauges("endpoints", "Endpoints listed", "cluster", of(2));
+        let help = "Whether the cluster is as usual (0), out (1), or coming back (2)";
+        gauges("recovery_phase", help, "cluster", of(3));
+        let help = "Clients that were told when to come back, and whose time is ahead";
+        gauges("expected_back", help, "cluster", of(4));
         let clients: Gauge = Gauge::default();
         clients.set(daemon.clients.len() as i64);
         registry.register("clients", "Connections of clients", clients);
--- a/crates/mintshelf/src/daemon.rs
+++ b/crates/mintshelf/src/daemon.rs
@@ -12,6 +12,7 @@
 use mintshelf_proxy::limits::Limits;
 use mintshelf_proxy::plain::{Counts, Plain, Pool, Serving};
 use mintshelf_proxy::upstream::{Connections, Style};
+use mintshelf_recovery::Phase;
 use mintshelf_routing::Table;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -245,6 +246,7 @@
             style: style.clone(),
             peers: None,
             discovery: None,
+            return_ramp: Some(module.return_ramp),
         };
         let driver = Driver::start(spec, self.connections.clone());
         driver.list(module.servers.clone());
@@ -284,11 +286,17 @@
     }
 
     /// Each cluster's open requests, timers and endpoints.
-    pub fn pools(&self) -> Vec<(String, [usize; 3])> {
+    pub fn pools(&self) -> Vec<(String, [usize; 5])> {
         let state = self.state.borrow();
         let pool = |(name, running): (&String, &Running)| {
             let (open, timers) = running.pool.driver.open();
-            (name.clone(), [open, timers, running.module.servers.len()])
+            let (phase, told) = running.pool.driver.recovery().unwrap_or((Phase::Calm, 0));
+            let phase = match phase {
+                Phase::Calm => 0,
+                Phase::Out => 1,
+                Phase::Return => 2,
+            };
+            (name.clone(), [open, timers, running.module.servers.len(), phase, told as usize])
         };
         state.pools.iter().map(pool).collect()
     }
--- a/crates/mintshelf/src/explain.rs
+++ b/crates/mintshelf/src/explain.rs
@@ -136,6 +136,7 @@
         setting(text, file, &of("failure-statuses"), statuses);
         setting(text, file, &of("warm-up"), span(cluster.warm_up));
         setting(text, file, &of("max-retry-after"), span(cluster.max_retry_after));
+        setting(text, file, &of("return-ramp"), span(cluster.return_ramp));
     }
     let limits = &file.limits;
     setting(text, file, "limits.head-timeout", span(limits.head_timeout));
--- a/crates/mintshelf/src/platform.rs
+++ b/crates/mintshelf/src/platform.rs
@@ -52,6 +52,7 @@
     let stay = longest + STAY;
     let Config { name, listen, settings, names, seed, discovery, known, .. } = config;
     let spec = Spec {
+        return_ramp: None,
         settings: settings.clone(),
         names: names.clone(),
         seed,
--- a/crates/mintshelf/tests/plain.rs
+++ b/crates/mintshelf/tests/plain.rs
@@ -163,6 +163,7 @@
     let got = daemon.ask(&get("/")).unwrap();
     assert_eq!(got.status(), 503, "{}", got.head);
     assert!(String::from_utf8_lossy(&got.body).contains("\"code\":\"overloaded\""));
+    assert_eq!(got.header("retry-after"), Some("1"));
 }
 
 /// Bytes that differ by place, so that a swap or a loss shows.
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -15,6 +15,7 @@
 use mintshelf_balancer::api::*;
 use mintshelf_balancer::decide::Balancer;
 use mintshelf_config::platform::Names;
+use mintshelf_recovery::{End, Phase, Recovery};
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::future::poll_fn;
@@ -36,6 +37,8 @@
     Served(Box<Answer>),
     /// Trying again is harmless, after a while.
     Refused(Nanos),
+    /// The same, while the whole cluster is out or coming back.
+    Paced(Nanos),
     /// Nothing is promised.
     Failed {
         /// The last attempt had no answer in time.
@@ -72,6 +75,8 @@
 /// A request from its last byte to its final answer and its last attempt.
 struct Taken {
     message: Message,
+    /// When its answer is in time no longer, counted from an attempt's start.
+    aim: Nanos,
     deadline: Nanos,
     /// Absent once the client has its answer, or has left.
     reply: Option<Rc<Seat<Reply>>>,
@@ -113,6 +118,9 @@
     probing: Probing,
     peers: Option<Peers>,
     max_attempts: usize,
+    classes: Vec<Class>,
+    /// Absent on the platform.
+    recovery: Option<RefCell<Recovery>>,
     /// Fields of the load reports in answers.
     report_fields: Option<Vec<String>>,
 }
@@ -132,12 +140,15 @@
     /// Where discovery answers, and the list as last held; absent where the servers come
     /// from elsewhere.
     pub discovery: Option<(SocketAddr, Option<String>)>,
+    /// The ramp after an outage of the whole cluster, 0 for none; absent where the fleet's
+    /// platform has its own ways.
+    pub return_ramp: Option<Nanos>,
 }
 
 impl Driver {
     /// Starts an instance of the decision module.
     pub fn start(spec: Spec, connections: Rc<Connections>) -> Rc<Self> {
-        let Spec { settings, names, seed, style, peers, discovery } = spec;
+        let Spec { settings, names, seed, style, peers, discovery, return_ramp } = spec;
         let clock = Clock::start();
         let connect_timeout = Duration::from_nanos(settings.connect_timeout);
         let idle_timeout = Duration::from_nanos(settings.idle_timeout);
@@ -147,6 +158,7 @@
         let (at, known) = discovery.map_or((None, None), |(at, known)| (Some(at), known));
         let fleet = Fleet::new(names, endpoints.clone());
         let discovery = at.map(|at| Rc::new(Discovery::new(fleet, at)));
+        let recovery = return_ramp.map(|ramp| Recovery::new(seed, ramp, settings.max_retry_after));
         let mut actions = Vec::new();
         let balancer = Balancer::new(settings.clone(), seed, clock.now(), &mut actions);
         let driver = Rc::new(Driver {
@@ -171,6 +183,8 @@
             },
             peers: peers.filter(|_| settings.peers),
             max_attempts: settings.max_attempts as usize,
+            classes: settings.classes.clone(),
+            recovery: recovery.map(RefCell::new),
             report_fields: (mode == ReportMode::Answers).then_some(fields),
         });
         driver.perform(&mut driver.core.borrow_mut(), actions);
@@ -204,6 +218,13 @@
         (core.taken.len(), core.timer_keys.len())
     }
 
+    /// What the cluster is in, as far as that is watched, and how many clients were told to
+    /// come back later and whose time is ahead.
+    pub fn recovery(&self) -> Option<(Phase, u64)> {
+        let recovery = self.recovery.as_ref()?.borrow();
+        Some((recovery.pace.phase(), recovery.calendar.expected()))
+    }
+
     /// Runs what goes by the clock: timers, tidying, and peers' messages.
     pub async fn run(self: &Rc<Self>) {
         const SWEEP: Duration = Duration::from_secs(1);
@@ -315,6 +336,32 @@
     /// for a request whose id is that of one still open. Danger: a server would
     /// take it for a second copy of that one.
     pub async fn serve(self: &Rc<Self>, arrival: Arrival, message: Message) -> Option<Reply> {
+        let Some(recovery) = &self.recovery else { return self.attend(arrival, message).await };
+        if !recovery.borrow_mut().pace.admit(self.clock.now()) {
+            return Some(Reply::Paced(self.come_back(arrival.class)));
+        }
+        let class = arrival.class;
+        let reply = self.attend(arrival, message).await?;
+        Some(match reply {
+            Reply::Refused(_) => Reply::Refused(self.come_back(class)),
+            Reply::Served(answer) if !answer.status.is_server_error() => {
+                recovery.borrow_mut().calendar.served(self.clock.now());
+                Reply::Served(answer)
+            }
+            reply => reply,
+        })
+    }
+
+    /// When a client that is refused now is told to come back.
+    fn come_back(&self, class: u32) -> Nanos {
+        let window = self.classes.get(class as usize).filter(|c| c.effect == Effect::Keyed);
+        let window = window.map(|class| class.dedup_window);
+        let now = self.clock.now();
+        let advice = |r: &RefCell<Recovery>| r.borrow_mut().calendar.advise(now, window);
+        self.recovery.as_ref().map_or(0, advice) * 1_000_000_000
+    }
+
+    async fn attend(self: &Rc<Self>, arrival: Arrival, message: Message) -> Option<Reply> {
         let seat = Rc::new(Seat::default());
         let id: RequestId = {
             let mut core = self.core.borrow_mut();
@@ -326,6 +373,7 @@
             let deadline = self.clock.now().saturating_add(arrival.patience);
             let taken = Taken {
                 message,
+                aim: self.classes.get(arrival.class as usize).map_or(Nanos::MAX, |c| c.aim),
                 deadline,
                 reply: Some(seat.clone()),
                 attempts: Vec::new(),
@@ -366,7 +414,7 @@
         let client = taken.reply.clone().filter(|_| !exceeded && until > now);
         let Some(client) = client else {
             let end = core.end_attempt(&id, number, Outcome::Unused, None, now);
-            core.events.extend(end);
+            core.events.extend(end.map(|(event, _)| event));
             return;
         };
         let to = self.to(server);
@@ -401,7 +449,13 @@
         // What an attempt took is told by the head of its answer, however long the body.
         let at = headed.unwrap_or_else(|| self.clock.now());
         let end = core.end_attempt(id, number, outcome, report, at);
-        core.events.extend(end);
+        if let Some((event, in_time)) = end {
+            let end = End::of(outcome, in_time);
+            if let Some((recovery, end)) = self.recovery.as_ref().zip(end) {
+                recovery.borrow_mut().pace.ended(self.clock.now(), end);
+            }
+            core.events.push_back(event);
+        }
         self.turn(&mut core);
     }
 
@@ -468,7 +522,8 @@
         }
     }
 
-    /// Notes an attempt's end; each has exactly one.
+    /// Notes an attempt's end; each has exactly one. Back comes the module's event, and
+    /// whether it took no longer than the class's aim.
     fn end_attempt(
         &mut self,
         id: &RequestId,
@@ -476,17 +531,18 @@
         outcome: Outcome,
         report: Option<Vec<f64>>,
         now: Nanos,
-    ) -> Option<Event> {
+    ) -> Option<(Event, bool)> {
         let taken = self.taken.get_mut(id)?;
         let attempt = taken.attempts.get(number as usize)?;
         taken.out -= 1;
         taken.timed_out = outcome == Outcome::TimedOut;
         let took = now.saturating_sub(attempt.sent);
         let server = attempt.server;
-        let finished = taken.reply.is_none();
+        let (finished, in_time) = (taken.reply.is_none(), took <= taken.aim);
         self.forget(id);
-        let id = id.clone();
-        Some(Event::AttemptEnded { id, attempt: number, outcome, finished, took, server, report })
+        let (id, attempt) = (id.clone(), number);
+        let event = Event::AttemptEnded { id, attempt, outcome, finished, took, server, report };
+        Some((event, in_time))
     }
 }
 
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -231,6 +231,10 @@
                 let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "overloaded", what);
                 Err(refusal.after(after))
             }
+            Some(Reply::Paced(after)) => {
+                let what = "the cluster is out or coming back; it has not run";
+                Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "outage", what).after(after))
+            }
             Some(Reply::Failed { timed_out: true }) => {
                 let what = "no server answered in time; it may have run";
                 Err(Refusal::new(StatusCode::GATEWAY_TIMEOUT, "upstream-timeout", what))
