An outage rig: fleets of sidecars through storms on virtual time

Need: what recovery changes shows only with many sidecars, clients that come again and servers that queue, start cold and fall over, and no rule may break in any of it.

The new package rig plays a plan (seed, sites, troubles, clients' ways) in one process: the real decision module and recovery, stand-in servers with places, queues, warm-up, falling over and dropping of repeats.

--- /dev/null
+++ b/crates/rig/src/sidecar.rs
@@ -0,0 +1,290 @@
+//! A sidecar: the decision module and the recovery package, with what the real one's driver
+//! does for them.
+
+use crate::plan::{Plan, CLASSES, WINDOW};
+use crate::{MS, SECOND};
+use mintshelf_balancer::api::*;
+use mintshelf_balancer::decide::Balancer;
+use mintshelf_recovery::{End, Recovery};
+use std::collections::{HashMap, VecDeque};
+
+/// Most attempts of one request.
+const MAX_ATTEMPTS: u32 = 3;
+/// Longest wait for a connection.
+pub const CONNECT_TIMEOUT: Nanos = 200 * MS;
+
+/// What a client is told.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Reply {
+    /// An answer.
+    Served,
+    /// It has not run, or may be repeated; when to come back, 0 for nothing said.
+    Refused(Nanos),
+    /// The same, by the pace.
+    Paced(Nanos),
+    /// Nothing is promised.
+    Failed,
+}
+
+/// What a sidecar does.
+pub enum Deed {
+    /// Sends an attempt.
+    Send { id: RequestId, attempt: u32, server: ServerId, until: Nanos },
+    /// Stops waiting for one.
+    Cancel { id: RequestId, attempt: u32 },
+    /// Answers a client.
+    Reply { client: usize, reply: Reply },
+    /// Wants to be called.
+    Timer { at: Nanos, token: u64 },
+    /// Closes idle connections.
+    CloseIdle { server: ServerId },
+}
+
+struct Attempt {
+    server: ServerId,
+    sent: Nanos,
+    over: bool,
+}
+
+struct Taken {
+    client: usize,
+    class: usize,
+    deadline: Nanos,
+    /// A final answer is owed.
+    open: bool,
+    attempts: Vec<Attempt>,
+}
+
+/// See the module.
+pub struct Sidecar {
+    balancer: Balancer,
+    recovery: Option<Recovery>,
+    taken: HashMap<RequestId, Taken>,
+    events: VecDeque<Event>,
+    last: u64,
+    /// Idle connections, by server.
+    pub idle: Vec<u32>,
+    /// Sends that broke a rule: another was out, or too many.
+    pub unruly: u64,
+}
+
+fn settings(plan: &Plan, number: usize) -> Settings {
+    let class = |lab: &crate::plan::Lab| Class {
+        effect: lab.effect,
+        group: Group::All,
+        dedup_window: WINDOW,
+        aim: lab.aim,
+        deadline: lab.deadline,
+        worth: lab.worth,
+        late_worth: 0.0,
+    };
+    Settings {
+        self_index: number as u32,
+        instances: plan.sidecars as u32,
+        zones: 1,
+        kinds: 1,
+        classes: CLASSES.iter().map(class).collect(),
+        size_kind: SizeKind::Nominal,
+        tick: 5 * MS,
+        answer_slack: 20 * MS,
+        drain_grace: 250 * MS,
+        cold_from: plan.cold_from,
+        cold: plan.cold,
+        fall_multiple: 3.0,
+        tip_after: SECOND,
+        cancel: true,
+        retry_after: true,
+        max_retry_after: plan.max_retry_after,
+        max_attempts: MAX_ATTEMPTS,
+        connect_timeout: CONNECT_TIMEOUT,
+        idle_timeout: 15 * SECOND,
+        goal: Goal { whole: 0.5, worst_window: 0.3, worst_class: 0.2, worst_tenant: 0.0 },
+        ..Settings::default()
+    }
+}
+
+impl Sidecar {
+    /// One that knows all servers.
+    pub fn new(plan: &Plan, number: usize, deeds: &mut Vec<Deed>) -> Self {
+        let seed = plan.seed.wrapping_mul(1_000_003).wrapping_add(number as u64);
+        let mut actions = Vec::new();
+        let balancer = Balancer::new(settings(plan, number), seed, SECOND, &mut actions);
+        let recovery = plan.ramp.map(|ramp| Recovery::new(seed, ramp, plan.max_retry_after));
+        let mut sidecar = Sidecar {
+            balancer,
+            recovery,
+            taken: HashMap::new(),
+            events: VecDeque::new(),
+            last: 0,
+            idle: vec![0; plan.servers],
+            unruly: 0,
+        };
+        sidecar.perform(SECOND, actions, deeds);
+        let listed = |id| ListedServer { id, size: 1.0, ..ListedServer::default() };
+        let entries: Vec<ListedServer> = (0..plan.servers as ServerId).map(listed).collect();
+        let list = Event::Servers { kind: ListKind::Full, version: 1, entries: entries.into() };
+        sidecar.post(SECOND, list, deeds);
+        sidecar
+    }
+
+    /// A client's try; its id, if it is taken on.
+    pub fn serve(
+        &mut self,
+        now: Nanos,
+        client: usize,
+        class: usize,
+        deeds: &mut Vec<Deed>,
+    ) -> Option<RequestId> {
+        if self.recovery.as_mut().is_some_and(|recovery| !recovery.pace.admit(now)) {
+            let reply = Reply::Paced(self.advise(now, class));
+            deeds.push(Deed::Reply { client, reply });
+            return None;
+        }
+        self.last += 1;
+        let id: RequestId = self.last.to_string().into();
+        let patience = CLASSES[class].deadline;
+        let deadline = now + patience;
+        let taken = Taken { client, class, deadline, open: true, attempts: Vec::new() };
+        self.taken.insert(id.clone(), taken);
+        let request = Event::Request {
+            id: id.clone(),
+            class: class as u32,
+            tenant: 0,
+            key: None,
+            cost_hint: None,
+            repeat: false,
+            patience,
+        };
+        self.post(now, request, deeds);
+        Some(id)
+    }
+
+    /// A client has left.
+    pub fn leave(&mut self, now: Nanos, id: &RequestId, deeds: &mut Vec<Deed>) {
+        let Some(taken) = self.taken.get_mut(id).filter(|taken| taken.open) else { return };
+        taken.open = false;
+        self.forget(id);
+        self.post(now, Event::Abandoned { id: id.clone() }, deeds);
+    }
+
+    /// An attempt has ended; each does once, what comes later is not heard.
+    pub fn ended(
+        &mut self,
+        now: Nanos,
+        id: &RequestId,
+        number: u32,
+        outcome: Outcome,
+        deeds: &mut Vec<Deed>,
+    ) {
+        let Some(taken) = self.taken.get_mut(id) else { return };
+        let Some(attempt) = taken.attempts.get_mut(number as usize).filter(|a| !a.over) else {
+            return;
+        };
+        attempt.over = true;
+        let (server, took) = (attempt.server, now - attempt.sent);
+        if taken.open && outcome == Outcome::Ok {
+            taken.open = false;
+            deeds.push(Deed::Reply { client: taken.client, reply: Reply::Served });
+            if let Some(recovery) = &mut self.recovery {
+                recovery.calendar.served(now);
+            }
+        }
+        let (finished, in_time) = (!taken.open, took <= CLASSES[taken.class].aim);
+        if let Some((recovery, end)) = self.recovery.as_mut().zip(End::of(outcome, in_time)) {
+            recovery.pace.ended(now, end);
+        }
+        self.forget(id);
+        let (id, attempt, report) = (id.clone(), number, None);
+        let end = Event::AttemptEnded { id, attempt, outcome, finished, took, server, report };
+        self.post(now, end, deeds);
+    }
+
+    /// A timer fires.
+    pub fn timer(&mut self, now: Nanos, token: u64, deeds: &mut Vec<Deed>) {
+        self.post(now, Event::Timer { token }, deeds);
+    }
+
+    fn advise(&mut self, now: Nanos, class: usize) -> Nanos {
+        let window = (CLASSES[class].effect == Effect::Keyed).then_some(WINDOW);
+        let recovery = self.recovery.as_mut();
+        recovery.map_or(0, |recovery| recovery.calendar.advise(now, window) * SECOND)
+    }
+
+    fn forget(&mut self, id: &RequestId) {
+        if self.taken.get(id).is_some_and(|t| !t.open && t.attempts.iter().all(|a| a.over)) {
+            self.taken.remove(id);
+        }
+    }
+
+    fn post(&mut self, now: Nanos, event: Event, deeds: &mut Vec<Deed>) {
+        self.events.push_back(event);
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = Vec::new();
+            self.balancer.handle(now, event, &mut actions);
+            self.perform(now, actions, deeds);
+        }
+    }
+
+    fn perform(&mut self, now: Nanos, actions: Vec<Action>, deeds: &mut Vec<Deed>) {
+        for action in actions {
+            match action {
+                Action::Send { id, server, timeout_at } => {
+                    self.send(now, id, server, timeout_at, deeds)
+                }
+                Action::Cancel { id, attempt } => deeds.push(Deed::Cancel { id, attempt }),
+                Action::Refuse { id, retry_after } => {
+                    let class = self.taken.get(&id).map_or(0, |taken| taken.class);
+                    let after = match self.recovery {
+                        Some(_) => self.advise(now, class),
+                        None => retry_after,
+                    };
+                    self.conclude(&id, Reply::Refused(after), deeds);
+                }
+                Action::Fail { id } => self.conclude(&id, Reply::Failed, deeds),
+                Action::SetTimer { after, token } => {
+                    deeds.push(Deed::Timer { at: now + after, token })
+                }
+                Action::CloseIdle { server } => deeds.push(Deed::CloseIdle { server }),
+                // A dropped timer that fires does nothing; the rest is off in these settings.
+                Action::DropTimer { .. }
+                | Action::Probe { .. }
+                | Action::TellPeer { .. }
+                | Action::Watch { .. }
+                | Action::FetchServers
+                | Action::Log { .. } => {}
+            }
+        }
+    }
+
+    fn conclude(&mut self, id: &RequestId, reply: Reply, deeds: &mut Vec<Deed>) {
+        let Some(taken) = self.taken.get_mut(id).filter(|taken| taken.open) else { return };
+        taken.open = false;
+        deeds.push(Deed::Reply { client: taken.client, reply });
+        self.forget(id);
+    }
+
+    fn send(
+        &mut self,
+        now: Nanos,
+        id: RequestId,
+        server: ServerId,
+        timeout_at: Nanos,
+        deeds: &mut Vec<Deed>,
+    ) {
+        let Some(taken) = self.taken.get_mut(&id) else { return };
+        let attempt = taken.attempts.len() as u32;
+        let out = taken.attempts.iter().any(|attempt| !attempt.over);
+        self.unruly += u64::from(out || attempt >= MAX_ATTEMPTS);
+        taken.attempts.push(Attempt { server, sent: now, over: false });
+        let until = match timeout_at {
+            0 => taken.deadline,
+            at => at.min(taken.deadline),
+        };
+        deeds.push(Deed::Send { id, attempt, server, until });
+    }
+
+    /// Whose request it is, and its class.
+    pub fn of(&self, id: &RequestId) -> Option<(usize, usize)> {
+        self.taken.get(id).map(|taken| (taken.client, taken.class))
+    }
+}
--- /dev/null
+++ b/crates/rig/src/world.rs
@@ -0,0 +1,414 @@
+//! Plays a plan: what happens, in order.
+
+use crate::plan::{Kind, Plan, Retry, CLASSES, WINDOW};
+use crate::report::{Report, Span, SLICE};
+use crate::server::{mean_work, scale, Arrived, Job, Server, WAY};
+use crate::sidecar::{Deed, Reply, Sidecar, CONNECT_TIMEOUT};
+use crate::{MS, SECOND};
+use mintshelf_balancer::api::{Effect, Nanos, Outcome, RequestId, ServerId};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cmp::{Ordering, Reverse};
+use std::collections::{BinaryHeap, HashMap};
+
+/// The sidecars know their servers from here on.
+const BEGIN: Nanos = SECOND;
+/// Tries after a client's first.
+const MORE_TRIES: u32 = 2;
+/// A client waits so much longer than its sidecar.
+const SLACK: Nanos = 100 * MS;
+/// A server that fell over is back after this.
+const DOWN_FOR: Nanos = 3 * SECOND;
+/// Idle connections that a sidecar keeps to a server.
+const IDLE_MAX: u32 = 16;
+/// The pause of one that honours advice and had none.
+const UNTOLD: Nanos = 100 * MS;
+
+enum Happens {
+    Fresh,
+    Try(usize),
+    Tired { client: usize, tries: u32 },
+    Arrives { server: usize, job: Job },
+    Done { server: usize, number: u64 },
+    Ends { sidecar: usize, id: RequestId, attempt: u32, outcome: Outcome },
+    Timer { sidecar: usize, token: u64 },
+    Begins(usize),
+    Over(usize),
+    Rises { server: usize },
+}
+
+struct Entry {
+    at: Nanos,
+    number: u64,
+    what: Happens,
+}
+
+impl PartialEq for Entry {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Entry {}
+
+impl PartialOrd for Entry {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Entry {
+    fn cmp(&self, other: &Self) -> Ordering {
+        (self.at, self.number).cmp(&(other.at, other.number))
+    }
+}
+
+struct Client {
+    class: usize,
+    sidecar: usize,
+    born: Nanos,
+    begun: Nanos,
+    tries: u32,
+    /// A try is open, and its id where the sidecar took it on.
+    open: bool,
+    id: Option<RequestId>,
+    /// How often its effect happened.
+    runs: u32,
+}
+
+struct World<'a> {
+    plan: &'a Plan,
+    now: Nanos,
+    events: BinaryHeap<Reverse<Entry>>,
+    last: u64,
+    rng: Pcg64Mcg,
+    sidecars: Vec<Sidecar>,
+    servers: Vec<Server>,
+    clients: Vec<Client>,
+    /// When a keyed request first ran, as all servers know together.
+    seen: HashMap<usize, Nanos>,
+    /// Time that a unit of work takes.
+    unit: f64,
+    report: Report,
+}
+
+/// Plays a plan to its end.
+pub fn play(plan: &Plan) -> Report {
+    let slices = (plan.length / SLICE) as usize;
+    let mut deeds = Vec::new();
+    let mut world = World {
+        plan,
+        now: BEGIN,
+        events: BinaryHeap::new(),
+        last: 0,
+        rng: Pcg64Mcg::seed_from_u64(plan.seed),
+        sidecars: Vec::new(),
+        servers: (0..plan.servers).map(|_| Server::new(plan)).collect(),
+        clients: Vec::new(),
+        seen: HashMap::new(),
+        unit: scale(plan).1,
+        report: Report { spans: vec![Span::default(); slices], ..Report::default() },
+    };
+    for number in 0..plan.sidecars {
+        let sidecar = Sidecar::new(plan, number, &mut deeds);
+        world.sidecars.push(sidecar);
+        world.carry_out(number, &mut deeds);
+    }
+    for (number, trouble) in plan.troubles.iter().enumerate() {
+        world.at(BEGIN + trouble.from, Happens::Begins(number));
+        world.at(BEGIN + trouble.until, Happens::Over(number));
+    }
+    world.at(BEGIN, Happens::Fresh);
+    while let Some(Reverse(entry)) = world.events.pop() {
+        if entry.at >= BEGIN + plan.length {
+            break;
+        }
+        world.now = entry.at;
+        world.happen(entry.what);
+    }
+    world.finish()
+}
+
+impl World<'_> {
+    fn at(&mut self, at: Nanos, what: Happens) {
+        self.last += 1;
+        self.events.push(Reverse(Entry { at, number: self.last, what }));
+    }
+
+    /// A uniform number in [0, 1).
+    fn draw(&mut self) -> f64 {
+        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn span_at(&mut self, at: Nanos) -> &mut Span {
+        let slice = (at.saturating_sub(BEGIN) / SLICE) as usize;
+        let last = self.report.spans.len() - 1;
+        &mut self.report.spans[slice.min(last)]
+    }
+
+    fn span(&mut self) -> &mut Span {
+        self.span_at(self.now)
+    }
+
+    /// Makes two runs that differ anywhere tell so.
+    fn digest(&mut self, what: u64) {
+        let mixed = (self.report.digest ^ what ^ self.now).wrapping_mul(0x0100_0000_01b3);
+        self.report.digest = mixed.rotate_left(23);
+    }
+
+    fn happen(&mut self, what: Happens) {
+        let mut deeds = Vec::new();
+        match what {
+            Happens::Fresh => self.fresh(),
+            Happens::Try(client) => self.try_once(client),
+            Happens::Tired { client, tries } => {
+                let Client { sidecar, open, tries: made, ref id, .. } = self.clients[client];
+                if !open || made != tries {
+                    return;
+                }
+                // The sidecar owed it an answer before that.
+                self.report.lost += 1;
+                let id = id.clone();
+                self.clients[client].open = false;
+                if let Some(id) = id {
+                    self.sidecars[sidecar].leave(self.now, &id, &mut deeds);
+                }
+                self.carry_out(sidecar, &mut deeds);
+            }
+            Happens::Arrives { server, job } => self.arrive(server, job),
+            Happens::Done { server, number } => self.done(server, number),
+            Happens::Ends { sidecar, id, attempt, outcome } => {
+                self.digest(u64::from(attempt) << 8 | outcome as u64);
+                self.sidecars[sidecar].ended(self.now, &id, attempt, outcome, &mut deeds);
+                self.carry_out(sidecar, &mut deeds);
+            }
+            Happens::Timer { sidecar, token } => {
+                self.sidecars[sidecar].timer(self.now, token, &mut deeds);
+                self.carry_out(sidecar, &mut deeds);
+            }
+            Happens::Begins(number) => {
+                let trouble = self.plan.troubles[number].clone();
+                for server in trouble.servers {
+                    self.servers[server].troubles.push((number, trouble.kind));
+                    if trouble.kind == Kind::Crash {
+                        self.crash(server);
+                    }
+                }
+            }
+            Happens::Over(number) => {
+                let trouble = self.plan.troubles[number].clone();
+                for server in trouble.servers {
+                    self.servers[server].troubles.retain(|(n, _)| *n != number);
+                    if trouble.kind == Kind::Crash && !self.servers[server].is_gone() {
+                        self.servers[server].start(self.now);
+                    }
+                }
+            }
+            Happens::Rises { server } => {
+                self.servers[server].troubles.retain(|(n, _)| *n != usize::MAX);
+                self.servers[server].start(self.now);
+            }
+        }
+    }
+
+    // --------------------------------------------------------------- clients
+
+    fn fresh(&mut self) {
+        let gap = -(1.0 - self.draw()).ln() / self.plan.rate * SECOND as f64;
+        self.at(self.now + gap as Nanos, Happens::Fresh);
+        let drawn = self.draw();
+        let mut class = 0;
+        let mut up_to = CLASSES[0].share;
+        while drawn >= up_to && class + 1 < CLASSES.len() {
+            class += 1;
+            up_to += CLASSES[class].share;
+        }
+        let sidecar = (self.draw() * self.plan.sidecars as f64) as usize;
+        let (born, begun) = (self.now, self.now);
+        let (open, id, runs, tries) = (false, None, 0, 0);
+        self.clients.push(Client { class, sidecar, born, begun, tries, open, id, runs });
+        self.span().asked += CLASSES[class].worth;
+        self.try_once(self.clients.len() - 1);
+    }
+
+    fn try_once(&mut self, client: usize) {
+        let now = self.now;
+        let of = &mut self.clients[client];
+        (of.begun, of.open, of.tries) = (now, true, of.tries + 1);
+        let (class, sidecar, tries) = (of.class, of.sidecar, of.tries);
+        self.span().tries += 1;
+        self.at(now + CLASSES[class].deadline + SLACK, Happens::Tired { client, tries });
+        let mut deeds = Vec::new();
+        let id = self.sidecars[sidecar].serve(now, client, class, &mut deeds);
+        self.clients[client].id = id;
+        self.carry_out(sidecar, &mut deeds);
+    }
+
+    fn replied(&mut self, client: usize, reply: Reply) {
+        let of = &mut self.clients[client];
+        if !std::mem::replace(&mut of.open, false) {
+            self.report.lost += 1;
+            return;
+        }
+        let (class, born, begun, tries) = (CLASSES[of.class], of.born, of.begun, of.tries);
+        self.digest(client as u64);
+        let harmless = match reply {
+            Reply::Served => {
+                if self.now - begun <= class.aim {
+                    self.span_at(begun).in_time += 1;
+                    self.span_at(born).earned += class.worth;
+                }
+                return;
+            }
+            Reply::Refused(_) => {
+                self.span().refused += 1;
+                true
+            }
+            Reply::Paced(_) => {
+                self.span().refused += 1;
+                self.span().paced += 1;
+                true
+            }
+            Reply::Failed => {
+                self.span().failed += 1;
+                class.effect != Effect::Unsafe
+            }
+        };
+        if !harmless || tries > MORE_TRIES {
+            return;
+        }
+        let told = match reply {
+            Reply::Refused(after) | Reply::Paced(after) => after,
+            Reply::Served | Reply::Failed => 0,
+        };
+        let wait = match self.plan.retry {
+            Retry::Never => return,
+            Retry::AtOnce => MS,
+            Retry::Pause(about) => (about as f64 * (0.5 + self.draw())) as Nanos,
+            Retry::Honour if told > 0 => {
+                self.span_at(self.now + told).told += 1;
+                told
+            }
+            Retry::Honour => UNTOLD,
+        };
+        self.at(self.now + wait, Happens::Try(client));
+    }
+
+    // -------------------------------------------------------------- sidecars
+
+    fn carry_out(&mut self, sidecar: usize, deeds: &mut Vec<Deed>) {
+        for deed in deeds.drain(..) {
+            match deed {
+                Deed::Send { id, attempt, server, until } => {
+                    self.send(sidecar, id, attempt, server, until)
+                }
+                Deed::Cancel { id, attempt } => {
+                    let outcome = Outcome::Cancelled;
+                    self.at(self.now, Happens::Ends { sidecar, id, attempt, outcome });
+                }
+                Deed::Reply { client, reply } => self.replied(client, reply),
+                Deed::Timer { at, token } => self.at(at, Happens::Timer { sidecar, token }),
+                Deed::CloseIdle { server } => self.sidecars[sidecar].idle[server as usize] = 0,
+            }
+        }
+    }
+
+    fn send(&mut self, sidecar: usize, id: RequestId, attempt: u32, to: ServerId, until: Nanos) {
+        let server = to as usize;
+        let Some((client, class)) = self.sidecars[sidecar].of(&id) else { return };
+        // Erlang of two stages: less spread than the exponential, still a tail.
+        let stages = [self.draw(), self.draw()].map(|x| -(1.0 - x).ln() / 2.0);
+        let work = (CLASSES[class].work * self.unit * (stages[0] + stages[1])) as Nanos;
+        let idle = &mut self.sidecars[sidecar].idle[server];
+        let fresh = *idle == 0;
+        *idle = idle.saturating_sub(1);
+        let usual = mean_work();
+        let span = self.span();
+        span.attempts += 1;
+        span.work += CLASSES[class].work / usual;
+        span.connects += u64::from(fresh);
+        let ways = if fresh { 3 } else { 1 };
+        let (now, end) = (self.now, id.clone());
+        let ends = |outcome| Happens::Ends { sidecar, id: end, attempt, outcome };
+        if fresh && self.servers[server].is_silent() {
+            self.at((now + CONNECT_TIMEOUT).min(until), ends(Outcome::ConnectFailed));
+            return;
+        }
+        self.at(until, ends(Outcome::TimedOut));
+        let job = Job { sidecar, id, attempt, client, class, work };
+        self.at(now + ways * WAY, Happens::Arrives { server, job });
+    }
+
+    // --------------------------------------------------------------- servers
+
+    fn answer(&mut self, server: usize, job: Job, outcome: Outcome) {
+        let Job { sidecar, id, attempt, .. } = job;
+        if matches!(outcome, Outcome::Ok | Outcome::Full) {
+            let idle = &mut self.sidecars[sidecar].idle[server];
+            *idle = (*idle + 1).min(IDLE_MAX);
+        }
+        self.at(self.now + WAY, Happens::Ends { sidecar, id, attempt, outcome });
+    }
+
+    fn arrive(&mut self, server: usize, job: Job) {
+        match self.servers[server].arrive(self.now, job.clone()) {
+            Arrived::Starts(number, at) => self.started(server, number, at),
+            Arrived::Waits | Arrived::Nothing => {}
+            Arrived::Full => self.answer(server, job, Outcome::Full),
+            Arrived::Refused => self.answer(server, job, Outcome::ConnectFailed),
+        }
+        if self.servers[server].falls(self.now) {
+            self.report.fallen += 1;
+            self.servers[server].troubles.push((usize::MAX, Kind::Crash));
+            self.crash(server);
+            self.at(self.now + DOWN_FOR, Happens::Rises { server });
+        }
+    }
+
+    /// A request runs: its effect happens now, unless it is a repeat that is dropped.
+    fn started(&mut self, server: usize, number: u64, at: Nanos) {
+        self.at(at, Happens::Done { server, number });
+        let Some(job) = self.servers[server].running(number) else { return };
+        let (client, effect) = (job.client, CLASSES[job.class].effect);
+        if effect == Effect::Keyed {
+            let first = self.seen.get(&client).copied();
+            if first.is_some_and(|first| self.now - first < WINDOW) {
+                return;
+            }
+            self.seen.insert(client, self.now);
+        }
+        let runs = &mut self.clients[client].runs;
+        *runs += 1;
+        if *runs > 1 {
+            match effect {
+                Effect::Safe => {}
+                Effect::Unsafe => self.report.twice[0] += 1,
+                Effect::Keyed => self.report.twice[1] += 1,
+            }
+        }
+    }
+
+    fn done(&mut self, server: usize, number: u64) {
+        let Some((job, next)) = self.servers[server].done(self.now, number) else { return };
+        if let Some((number, at)) = next {
+            self.started(server, number, at);
+        }
+        let of = &self.servers[server];
+        if !of.hangs(job.class) && !of.is_silent() {
+            self.answer(server, job, Outcome::Ok);
+        }
+    }
+
+    /// All that it held breaks off, and so do its connections.
+    fn crash(&mut self, server: usize) {
+        for job in self.servers[server].lose() {
+            self.answer(server, job, Outcome::Reset);
+        }
+        self.sidecars.iter_mut().for_each(|sidecar| sidecar.idle[server] = 0);
+    }
+
+    fn finish(mut self) -> Report {
+        self.report.unruly = self.sidecars.iter().map(|sidecar| sidecar.unruly).sum();
+        self.report
+    }
+}
