Put a changed return-ramp in force on reload

Cause: a reload kept a cluster's instance when its settings, classes and style were the same, a list written out by hand that return-ramp had not been added to: a file that changed only the ramp was said to be in force and was not.

A module now tells itself whether it differs from another in its servers only, by comparing all the rest, so that no further field can be missed.

Seen failing before ("the outage is noticed" never came about), passing after; all other tests of reloads unchanged.

--- a/crates/config/src/module.rs
+++ b/crates/config/src/module.rs
@@ -39,6 +39,13 @@
     pub return_ramp: Nanos,
 }
 
+impl Module {
+    /// Whether only the servers differ, which are news to a running instance like any list.
+    pub fn differs_in_servers_only(&self, other: &Module) -> bool {
+        *other == Module { servers: other.servers.clone(), ..self.clone() }
+    }
+}
+
 /// A number for an effect, the mildest first.
 pub fn severity(effect: Effect) -> usize {
     match effect {
--- a/crates/mintshelf/src/daemon.rs
+++ b/crates/mintshelf/src/daemon.rs
@@ -216,9 +216,7 @@
                 stall: self.fixed.0.stream_timeout,
             };
             let same = |running: &Running| {
-                running.module.settings == module.settings
-                    && running.module.classes == module.classes
-                    && running.style == style
+                running.module.differs_in_servers_only(&module) && running.style == style
             };
             let running = match old.remove(name) {
                 Some(mut running) if same(&running) => {
--- a/crates/mintshelf/tests/outage.rs
+++ b/crates/mintshelf/tests/outage.rs
@@ -38,13 +38,16 @@
     }
 }
 
-fn daemon(site: SocketAddr, more: &str) -> (Daemon, SocketAddr) {
-    let (at, admin) = (free_address(), free_address());
-    let text = format!(
+fn file(at: SocketAddr, admin: SocketAddr, site: SocketAddr, more: &str) -> String {
+    format!(
         "listen = \"{at}\"\n[admin]\naddress = \"{admin}\"\n\
          [clusters.c]\nendpoints = [\"{site}\"]\n{more}\n[[routes]]\ncluster = \"c\"\n"
-    );
-    (Daemon::start(PROGRAM, at, &text, &[]), admin)
+    )
+}
+
+fn daemon(site: SocketAddr, more: &str) -> (Daemon, SocketAddr) {
+    let (at, admin) = (free_address(), free_address());
+    (Daemon::start(PROGRAM, at, &file(at, admin, site, more), &[]), admin)
 }
 
 fn get(path: &str) -> Vec<u8> {
@@ -116,6 +119,12 @@
         assert!(got.status() >= 500 && !is_paced(&got), "{}", got.head);
     }
     assert_eq!(phase(admin), "0");
+    // A file that changes nothing but the ramp is in force as well.
+    daemon.reload(&file(daemon.at, admin, site.peer.at, "return-ramp = \"1s\""));
+    wait_until("the outage is noticed", || is_paced(&daemon.ask(&get("/")).unwrap()));
+    assert_eq!(phase(admin), "1");
+    daemon.reload(&file(daemon.at, admin, site.peer.at, "return-ramp = \"0s\""));
+    assert_eq!(phase(admin), "0");
     site.down.store(false, Ordering::SeqCst);
     wait_until("it is served", || daemon.ask(&get("/")).unwrap().status() == 200);
 }
