One fading sum, one search for the nearest name, one reading of the clock

The recovery package and the rig each faded sums by hand beside the module's Fading; the second was defined in three files of one package; "did you mean" was searched for in two ways; three test files wrote the same GET. An attempt on an operator's route read the clock twice for one moment, at its start and at its end.

Fading is public and serves all three; most_alike, get and SECOND each stand once; the readings are shared. The calendar takes the least of three without sorting them.

--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -9,7 +9,7 @@
 
 pub mod api;
 pub mod decide;
-mod fading;
+pub mod fading;
 pub mod peer;
 mod rng;
 pub mod settings;
--- a/crates/config/src/file/checks.rs
+++ b/crates/config/src/file/checks.rs
@@ -1,6 +1,6 @@
 //! What no single field shows: clashes, names that lead nowhere, routes out of reach.
 
-use super::reader::{At, Table};
+use super::reader::{most_alike, At, Table};
 use super::routes::Read;
 use super::DEFAULT_CLASS;
 use crate::model::{Class, Cluster, Listener, Route, Then};
@@ -53,12 +53,10 @@
     classes: &BTreeMap<String, At<Class>>,
     clusters: &BTreeMap<String, At<Cluster>>,
 ) {
-    let nearest = |name: &str, known: &mut dyn Iterator<Item = &str>| {
-        let alike = |k: &&str| strsim::jaro_winkler(name, k);
-        match known.max_by(|a, b| alike(a).total_cmp(&alike(b))) {
-            Some(best) => format!("did you mean '{best}'?"),
-            None => "define it first".to_string(),
-        }
+    let nearest = |name: &str, known: &mut dyn Iterator<Item = &str>| match most_alike(name, known)
+    {
+        Some((best, _)) => format!("did you mean '{best}'?"),
+        None => "define it first".to_string(),
     };
     let missing = |at: &At<String>, kind: &str, mend: String| {
         let what = format!("'{}' {NAMES_NOTHING}: there is no such {kind}", at.value);
--- a/crates/config/src/file/reader.rs
+++ b/crates/config/src/file/reader.rs
@@ -12,6 +12,13 @@
 /// How alike an unknown key and a known one must be to be proposed.
 const ALIKE: f64 = 0.7;
 
+/// The name that one is most like, and how alike they are, from 0 to 1.
+pub fn most_alike<'k>(name: &str, known: impl Iterator<Item = &'k str>) -> Option<(&'k str, f64)> {
+    known
+        .map(|known| (known, strsim::jaro_winkler(name, known)))
+        .max_by(|(_, a), (_, b)| a.total_cmp(b))
+}
+
 /// A file that is being read.
 pub struct Reader<'a> {
     name: &'a str,
@@ -373,10 +380,9 @@
             if asked.contains(name) {
                 continue;
             }
-            let alike = |known: &&&str| strsim::jaro_winkler(name, known);
-            let best = asked.iter().max_by(|a, b| alike(a).total_cmp(&alike(b)));
-            let mend = match best.filter(|best| alike(best) >= ALIKE) {
-                Some(best) => format!("did you mean '{best}'?"),
+            let best = most_alike(name, asked.iter().copied());
+            let mend = match best.filter(|(_, alike)| *alike >= ALIKE) {
+                Some((best, _)) => format!("did you mean '{best}'?"),
                 None => {
                     let known: Vec<&str> = asked.iter().copied().collect();
                     format!("known here: {}", known.join(", "))
--- a/crates/mintshelf/tests/outage.rs
+++ b/crates/mintshelf/tests/outage.rs
@@ -50,10 +50,6 @@
     (Daemon::start(PROGRAM, at, &file(at, admin, site, more), &[]), admin)
 }
 
-fn get(path: &str) -> Vec<u8> {
-    format!("GET {path} HTTP/1.1\r\nHost: h\r\n\r\n").into_bytes()
-}
-
 fn phase(admin: SocketAddr) -> String {
     let got = ask(admin, &get("/-/metrics")).unwrap();
     let text = String::from_utf8_lossy(&got.body).into_owned();
--- a/crates/mintshelf/tests/plain.rs
+++ b/crates/mintshelf/tests/plain.rs
@@ -24,10 +24,6 @@
     Daemon::start(PROGRAM, at, &file(at, servers, more), &[])
 }
 
-fn get(path: &str) -> Vec<u8> {
-    format!("GET {path} HTTP/1.1\r\nHost: h\r\n\r\n").into_bytes()
-}
-
 /// Writes a request that asks for the connection's end, and reads all that comes.
 fn all(at: SocketAddr, request: &str) -> String {
     let mut stream = connect(at).unwrap();
--- a/crates/mintshelf/tests/swap.rs
+++ b/crates/mintshelf/tests/swap.rs
@@ -17,10 +17,6 @@
     })
 }
 
-fn get(path: &str) -> Vec<u8> {
-    format!("GET {path} HTTP/1.1\r\nHost: h\r\n\r\n").into_bytes()
-}
-
 fn body(message: &Message) -> String {
     String::from_utf8_lossy(&message.body).into_owned()
 }
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -336,12 +336,15 @@
     /// for a request whose id is that of one still open. Danger: a server would
     /// take it for a second copy of that one.
     pub async fn serve(self: &Rc<Self>, arrival: Arrival, message: Message) -> Option<Reply> {
-        let Some(recovery) = &self.recovery else { return self.attend(arrival, message).await };
-        if !recovery.borrow_mut().pace.admit(self.clock.now()) {
-            return Some(Reply::Paced(self.come_back(arrival.class)));
-        }
+        let now = self.clock.now();
+        let Some(recovery) = &self.recovery else {
+            return self.attend(now, arrival, message).await;
+        };
         let class = arrival.class;
-        let reply = self.attend(arrival, message).await?;
+        if !recovery.borrow_mut().pace.admit(now) {
+            return Some(Reply::Paced(self.come_back(class)));
+        }
+        let reply = self.attend(now, arrival, message).await?;
         Some(match reply {
             Reply::Refused(_) => Reply::Refused(self.come_back(class)),
             Reply::Served(answer) if !answer.status.is_server_error() => {
@@ -361,7 +364,12 @@
         self.recovery.as_ref().map_or(0, advice) * 1_000_000_000
     }
 
-    async fn attend(self: &Rc<Self>, arrival: Arrival, message: Message) -> Option<Reply> {
+    async fn attend(
+        self: &Rc<Self>,
+        now: Nanos,
+        arrival: Arrival,
+        message: Message,
+    ) -> Option<Reply> {
         let seat = Rc::new(Seat::default());
         let id: RequestId = {
             let mut core = self.core.borrow_mut();
@@ -370,7 +378,7 @@
             }
             core.last_id += 1;
             let id: RequestId = core.last_id.to_string().into();
-            let deadline = self.clock.now().saturating_add(arrival.patience);
+            let deadline = now.saturating_add(arrival.patience);
             let taken = Taken {
                 message,
                 aim: self.classes.get(arrival.class as usize).map_or(Nanos::MAX, |c| c.aim),
@@ -447,12 +455,12 @@
     ) {
         let mut core = self.core.borrow_mut();
         // What an attempt took is told by the head of its answer, however long the body.
-        let at = headed.unwrap_or_else(|| self.clock.now());
-        let end = core.end_attempt(id, number, outcome, report, at);
+        let now = self.clock.now();
+        let end = core.end_attempt(id, number, outcome, report, headed.unwrap_or(now));
         if let Some((event, in_time)) = end {
             let end = End::of(outcome, in_time);
             if let Some((recovery, end)) = self.recovery.as_ref().zip(end) {
-                recovery.borrow_mut().pace.ended(self.clock.now(), end);
+                recovery.borrow_mut().pace.ended(now, end);
             }
             core.events.push_back(event);
         }
--- a/crates/recovery/src/calendar.rs
+++ b/crates/recovery/src/calendar.rs
@@ -2,11 +2,11 @@
 //! together, and over the longer, the more of them there are.
 
 use crate::usual::Usual;
+use crate::SECOND;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::VecDeque;
 
-const SECOND: u64 = 1_000_000_000;
 /// The longest advice, and so the most that is remembered, in seconds.
 pub const MOST_SECONDS: u64 = 600;
 /// A keyed request is told to come back within this part of the time for which servers drop
@@ -14,6 +14,7 @@
 const WINDOW_PART: u64 = 4;
 /// Clients that come back may add this part of the usual answers in any second.
 const COME_BACK_SHARE: f64 = 0.2;
+
 /// A ledger of who was told to come back in which second.
 ///
 /// RFC 9110 10.2.3 gives `Retry-After` whole seconds. A client that is told `n` comes back
@@ -63,15 +64,15 @@
         };
         let span = ((self.expected + 1) as f64 / room).ceil().min(most as f64) as u64;
         // The emptiest of two drawn and the last: even, and sidecars differ.
-        let mut seconds = [1 + self.below(span), 1 + self.below(span), span];
-        seconds.sort_by_key(|second| self.told[*second as usize]);
-        let emptier = seconds[0];
-        let told = &mut self.told[emptier as usize];
+        let seconds = [1 + self.below(span), 1 + self.below(span), span];
+        let emptiest = seconds.into_iter().min_by_key(|second| self.told[*second as usize]);
+        let second = emptiest.unwrap_or(span);
+        let told = &mut self.told[second as usize];
         if let Some(more) = told.checked_add(1) {
             *told = more;
             self.expected += 1;
         }
-        emptier
+        second
     }
 
     /// How many were told to come and whose time is still ahead.
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -6,6 +6,9 @@
 mod pace;
 mod usual;
 
+/// A second in nanoseconds.
+const SECOND: u64 = 1_000_000_000;
+
 pub use calendar::{Calendar, MOST_SECONDS};
 pub use pace::{End, Pace, Phase};
 
--- a/crates/recovery/src/pace.rs
+++ b/crates/recovery/src/pace.rs
@@ -5,13 +5,14 @@
 //! follows the same ramp of the sum, however many they are and unheard by each other.
 
 use crate::usual::Usual;
+use crate::SECOND;
 use mintshelf_balancer::api::Outcome;
+use mintshelf_balancer::fading::Fading;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 
-const SECOND: u64 = 1_000_000_000;
 /// Ends of attempts are forgotten by half in this time.
-const HALF_LIFE: f64 = 0.5 * SECOND as f64;
+const HALF_LIFE: u64 = SECOND / 2;
 /// A cluster is out when so many of the latest ends, and this share of them, are breaks.
 const OUT_ENDS: f64 = 16.0;
 const OUT_SHARE: f64 = 0.8;
@@ -81,10 +82,9 @@
     /// Answers, and what was usual when the cluster was last as usual.
     answered: Usual,
     before: f64,
-    /// Fading counts of all ends and of breaks, and when they were brought up to date.
-    ends: f64,
-    breaks: f64,
-    at: u64,
+    /// Counts of all ends and of breaks.
+    ends: Fading,
+    breaks: Fading,
     /// Requests a second let through now, and those that may go at once.
     rate: f64,
     credit: f64,
@@ -103,9 +103,8 @@
             ramp,
             answered: Usual::default(),
             before: 0.0,
-            ends: 0.0,
-            breaks: 0.0,
-            at: 0,
+            ends: Fading::default(),
+            breaks: Fading::default(),
             rate: 0.0,
             credit: 0.0,
             credit_at: 0,
@@ -150,16 +149,16 @@
         if !broke {
             self.answered.count(now);
         }
-        let fade = (-(now.saturating_sub(self.at) as f64) / HALF_LIFE).exp2();
-        self.at = now.max(self.at);
-        self.ends = self.ends * fade + 1.0;
-        self.breaks = self.breaks * fade + f64::from(u8::from(broke));
-        let out = self.ends >= OUT_ENDS && self.breaks >= OUT_SHARE * self.ends;
+        self.ends.add(now, HALF_LIFE, 1.0);
+        self.breaks.add(now, HALF_LIFE, f64::from(u8::from(broke)));
+        let (ends, breaks) = (self.ends.sum, self.breaks.sum);
+        let out = ends >= OUT_ENDS && breaks >= OUT_SHARE * ends;
         match self.phase {
             Phase::Calm | Phase::Return if out => self.enter(now, Phase::Out, OUT_PART),
             Phase::Out if !broke => {
                 // Breaks of before say nothing of now.
-                (self.ends, self.breaks) = (1.0, 0.0);
+                (self.ends, self.breaks) = Default::default();
+                self.ends.add(now, HALF_LIFE, 1.0);
                 self.enter(now, Phase::Return, FIRST_PART);
             }
             Phase::Return => self.climb(now, end),
--- a/crates/recovery/src/usual.rs
+++ b/crates/recovery/src/usual.rs
@@ -1,6 +1,7 @@
 //! What is usual in a second, remembered through an outage.
 
-const SECOND: u64 = 1_000_000_000;
+use crate::SECOND;
+
 /// Part of the usual count that a second's own takes over: when it rises, and when it
 /// falls. Danger: one that falls as fast forgets in an outage what servers can do.
 const RISE: f64 = 0.3;
--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -3,6 +3,7 @@
 use crate::plan::{Kind, Plan, CLASSES};
 use crate::{MS, SECOND};
 use mintshelf_balancer::api::{Nanos, RequestId};
+use mintshelf_balancer::fading::Fading;
 use std::collections::{HashMap, VecDeque};
 
 /// Places of a server at this many first tries a second over all servers, for each server.
@@ -12,8 +13,9 @@
 /// A cold server falls over when for so long it is sent this multiple of what it can do.
 const FALL_MULTIPLE: f64 = 3.0;
 const FALL_AFTER: Nanos = SECOND;
-/// Memory of what it is sent.
+/// Memory of what it is sent: mean age, and its half-life.
 const MEMORY: f64 = 0.5 * SECOND as f64;
+const HALF_LIFE: Nanos = 346_573_590;
 
 /// One attempt as it reaches a server.
 #[derive(Debug, Clone)]
@@ -57,9 +59,8 @@
     started: Option<Nanos>,
     cold: Nanos,
     cold_from: f64,
-    /// Fading sum of what it was sent, and since when that is too much.
-    load: f64,
-    load_at: Nanos,
+    /// What it was sent, and since when that is too much.
+    load: Fading,
     over_since: Option<Nanos>,
 }
 
@@ -88,8 +89,7 @@
             started: None,
             cold: plan.cold,
             cold_from: plan.cold_from,
-            load: 0.0,
-            load_at: 0,
+            load: Fading::default(),
             over_since: None,
         }
     }
@@ -122,7 +122,7 @@
     /// Begins anew, cold.
     pub fn start(&mut self, now: Nanos) {
         self.started = Some(now);
-        (self.load, self.over_since) = (0.0, None);
+        (self.load, self.over_since) = (Fading::default(), None);
     }
 
     /// Loses all that it held; back come those that it was running or had queued.
@@ -152,11 +152,9 @@
         if self.is_silent() {
             return Arrived::Nothing;
         }
-        let passed = now.saturating_sub(self.load_at) as f64;
-        self.load = self.load * (-passed / MEMORY).exp() + job.work as f64;
-        self.load_at = now;
+        self.load.add(now, HALF_LIFE, job.work as f64);
         let able = self.places as f64 * self.warmth(now);
-        let too_much = self.warmth(now) < 1.0 && self.load / MEMORY > FALL_MULTIPLE * able;
+        let too_much = self.warmth(now) < 1.0 && self.load.sum / MEMORY > FALL_MULTIPLE * able;
         self.over_since = too_much.then(|| self.over_since.unwrap_or(now));
         if self.running.len() < self.places {
             let (number, at) = self.begin(now, job);
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -111,6 +111,11 @@
     }
 }
 
+/// A GET of a path.
+pub fn get(path: &str) -> Vec<u8> {
+    format!("GET {path} HTTP/1.1\r\nHost: h\r\n\r\n").into_bytes()
+}
+
 /// An answer with a length.
 pub fn answer(body: &str) -> Vec<u8> {
     format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
