Hold files and servers to the schedule: model, hard cases, effects counted

The checker and the time-outs need proof that no accepted file breaks a rule and that no effect happens twice over real sockets.

A keyed request is refused with advice only as long as servers still know its key, and nothing of it is sent once they do not.

--- a/crates/balancer/src/decide/attempts.rs
+++ b/crates/balancer/src/decide/attempts.rs
@@ -259,8 +259,8 @@
     fn backoff(&mut self, now: Nanos, id: &RequestId) -> Nanos {
         let Some(r) = self.requests.get(id) else { return 0 };
         let bound = self.set.classes[r.class].backoff_bound(r.attempts.len());
-        let fits = bound > 0 && now.saturating_add(bound) < r.deadline;
-        fits.then(|| self.rng.draw() * bound as f64).unwrap_or(0.0) as Nanos
+        let part = if bound > 0 && now + bound < r.deadline { self.rng.draw() } else { 0.0 };
+        (part * bound as f64) as Nanos
     }
 
     /// A second copy beside a first that is slow, where that is allowed and paid for.
--- a/crates/config/src/file/mod.rs
+++ b/crates/config/src/file/mod.rs
@@ -272,7 +272,10 @@
         table.reader.wrong(&window.span, &window.field, "only keyed classes have a window", mend);
     }
     aim_fits(table, &aim, deadline.value);
-    let stated = tries::read(table, defaults);
+    let mut stated = tries::read(table, defaults);
+    if table.has("window") {
+        stated.places.insert("window", (window.span.clone(), window.field.clone()));
+    }
     let class = Class {
         effect: value,
         window: window.value,
--- /dev/null
+++ b/crates/config/tests/tries.rs
@@ -0,0 +1,268 @@
+//! Files that could break a rule by their attempts: each refused, at its place, with the
+//! schedule that breaks it.
+
+use mintshelf_config::file;
+use mintshelf_config::module::module;
+use mintshelf_limits::schedule::PerTry;
+
+const LAB: &str = include_str!("../../../deploy/lab.toml");
+
+fn errors(text: &str) -> Vec<String> {
+    let problems = file::read("f", text.as_bytes()).err().unwrap_or_default();
+    problems.iter().map(|p| p.to_string()).collect()
+}
+
+/// The lab's file with something put behind a line.
+fn behind(line: &str, more: &str) -> String {
+    assert!(LAB.contains(line), "{line}");
+    LAB.replacen(line, &format!("{line}\n{more}"), 1)
+}
+
+/// One error, which names a line that holds `at`, and says all of `parts`.
+fn refused(what: &str, text: &str, at: &str, parts: &[&str]) {
+    let errors = errors(text);
+    assert_eq!(errors.len(), 1, "{what}: {errors:#?}");
+    let line: usize = errors[0].split(':').nth(1).unwrap().parse().unwrap();
+    let named = text.lines().nth(line - 1).unwrap();
+    assert!(named.contains(at), "{what}: line {line}, {named}: {}", errors[0]);
+    for part in parts {
+        assert!(errors[0].contains(part), "{what}: '{part}' in {}", errors[0]);
+    }
+}
+
+const TWICE: &str = "would break rule 2";
+
+#[test]
+fn no_file_has_flash_device_sent_twice() {
+    let flash = "[classes.flash-device]";
+    let again = "an unsafe request would be sent again after an attempt that may have run";
+    let copy = "an unsafe request would have a second copy beside one that may have run";
+    let copies = |text: String| {
+        text.replacen("zone = \"charguia\"\n", "zone = \"charguia\"\nsecond-copies = true\n", 1)
+    };
+    let direct = behind(flash, "retry-on = \"may-have-run\"");
+    refused(
+        "directly",
+        &direct,
+        "retry-on",
+        &[again, TWICE, "class 'flash-device' at cluster 'bench'"],
+    );
+    let direct = copies(behind(flash, "hedge = { after = \"p95\" }"));
+    refused("a copy, directly", &direct, "hedge", &[copy, TWICE]);
+    // What safe classes may have is inherited by all.
+    let by_default = behind("sockets = 256", "[defaults]\nretry-on = \"may-have-run\"");
+    refused("through a default", &by_default, "retry-on", &[again, "'flash-device'"]);
+    let hedged =
+        copies(behind("sockets = 256", "[defaults]\nhedge = { after = \"30ms\", share = 0.1 }"));
+    let hedged_queue = hedged.replacen("window = \"20s\"", "window = \"20s\"\nhedge = false", 1);
+    refused("a copy, through a default", &hedged_queue, "hedge = {", &[copy, "'flash-device'"]);
+    let mended = hedged_queue.replacen(flash, &format!("{flash}\nhedge = false"), 1);
+    assert_eq!(errors(&mended), Vec::<String>::new());
+    let route = "class = \"flash-device\"";
+    let over = behind(route, "overrides = { retry-on = \"may-have-run\" }");
+    refused("through a route", &over, "overrides", &[again, TWICE]);
+    let over = copies(behind(route, "overrides = { hedge = { after = \"1s\" } }"));
+    refused("a copy, through a route", &over, "overrides", &[copy, TWICE]);
+    let milder = behind(route, "effect = \"safe\"");
+    refused(
+        "by its effect",
+        &milder,
+        "[[routes]]",
+        &["makes requests of class 'flash-device' safe", TWICE],
+    );
+    // A header, or a method, that turns the same requests into another class.
+    let by_header = format!(
+        "{LAB}\n[[routes]]\nname = \"fast\"\nregex = \"/devices/[^/]+/flash\"\nmethods = [\"POST\"]\n\
+         headers = {{ x-fast = true }}\nclass = \"queue-run\"\ncluster = \"bench\"\n"
+    );
+    refused(
+        "by a header",
+        &by_header,
+        "[[routes]]",
+        &["says are unsafe would be keyed here", TWICE],
+    );
+    let by_method = LAB.replacen(
+        "methods = [\"POST\"]\nclass = \"flash-device\"",
+        "class = \"flash-device\"",
+        1,
+    )
+        + "\n[[routes]]\nname = \"peek\"\nregex = \"/devices/[^/]+/flash\"\nmethods = [\"GET\"]\n\
+           class = \"run-logs\"\ncluster = \"bench\"\n";
+    refused(
+        "by a method",
+        &by_method,
+        "[[routes]]",
+        &["says are unsafe would be safe here", "different methods"],
+    );
+    // Two routes that share no method are two kinds of request.
+    let apart = format!(
+        "{LAB}\n[[routes]]\nname = \"peek\"\nregex = \"/devices/[^/]+/flash\"\nmethods = [\"GET\"]\n\
+         class = \"run-logs\"\ncluster = \"bench\"\n"
+    );
+    assert_eq!(errors(&apart), Vec::<String>::new());
+    // A POST in a safe class is unsafe by itself.
+    let still = by_header.replacen("class = \"queue-run\"\ncluster = \"bench\"\n", "", 0).replace(
+        "headers = { x-fast = true }\nclass = \"queue-run\"",
+        "headers = { x-fast = true }\nclass = \"run-logs\"",
+    );
+    assert_eq!(errors(&still), Vec::<String>::new());
+}
+
+#[test]
+fn no_queue_run_is_sent_after_its_window() {
+    let long =
+        |more: &str| LAB.replacen("deadline = \"4s\"", &format!("deadline = \"30s\"\n{more}"), 1);
+    // Nothing bounds the first attempt but the deadline.
+    refused(
+        "no time for each try",
+        &long(""),
+        "window",
+        &["no per-try time-out", "the window is 20 s", TWICE],
+    );
+    let sum = long("per-try-timeout = \"8s\"\nbackoff = { first = \"1.8s\", most = \"3.6s\" }");
+    refused(
+        "the sum",
+        &sum,
+        "window",
+        &[
+            "attempt 3 could reach a server at 22 s",
+            "2 x 8 s per try + 2 x 200 ms connecting + 5.4 s backoff",
+            TWICE,
+        ],
+    );
+    for less in [
+        sum.replacen("\"8s\"", "\"5s\"", 1),
+        sum.replacen("first = \"1.8s\", most = \"3.6s\"", "first = \"100ms\"", 1),
+        sum.replacen("per-try-timeout", "max-attempts = 2\nper-try-timeout", 1),
+    ] {
+        assert_eq!(errors(&less), Vec::<String>::new());
+    }
+    let connect = long("per-try-timeout = \"8s\"\nbackoff = { first = \"500ms\", most = \"1s\" }");
+    assert_eq!(errors(&connect), Vec::<String>::new());
+    let connect = connect.replacen("connect-timeout = \"200ms\"", "connect-timeout = \"2s\"", 1);
+    refused("by its connections", &connect, "window", &["2 x 2 s connecting", TWICE]);
+    let over = LAB.replacen(
+        "class = \"queue-run\"\n",
+        "class = \"queue-run\"\noverrides = { deadline = \"40s\" }\n",
+        1,
+    );
+    refused("through a route", &over, "window", &["the deadline, 40 s", TWICE]);
+    let client = LAB.replacen("window = \"20s\"", "window = \"20s\"\nclient-retries = 2", 1);
+    refused(
+        "its client's",
+        &client,
+        "client-retries",
+        &["a client's own retry could reach a server at 22 s", TWICE],
+    );
+    let hedge = LAB
+        .replacen(
+            "window = \"20s\"",
+            "window = \"20s\"\ndedup-group = \"zone\"\nhedge = { after = \"1s\" }",
+            1,
+        )
+        .replacen("zone = \"charguia\"\n", "zone = \"charguia\"\nsecond-copies = true\n", 1);
+    refused("a copy", &hedge, "hedge", &["outside the first one's dedup group", TWICE]);
+    // The file that was taken without a word.
+    let measured = "listen = \"127.0.0.1:1\"\n[classes.q]\neffect = \"keyed\"\nwindow = \"20s\"\n\
+        deadline = \"300s\"\n[clusters.c]\nendpoints = \"127.0.0.1:2\"\nmax-attempts = 6\n\
+        connect-timeout = \"30s\"\n[[routes]]\nclass = \"q\"\ncluster = \"c\"\n";
+    refused("the measured file", measured, "window", &["300 s", "the window is 20 s", TWICE]);
+    let split = LAB.replacen(
+        "class = \"queue-run\"\ncluster = \"bench\"",
+        "class = \"queue-run\"\nclusters = { bench = 1, other = 1 }",
+        1,
+    ) + "\n[clusters.other]\nendpoints = \"127.0.0.1:9004\"\n";
+    refused("to another cluster", &split, "[[routes]]", &["which does not know its key", TWICE]);
+    let sticky =
+        split.replacen("other = 1 }", "other = 1 }\nsticky = \"header:idempotency-key\"", 1);
+    assert_eq!(errors(&sticky), Vec::<String>::new());
+}
+
+#[test]
+fn times_and_attempts_must_fit() {
+    let status = |more: &str| {
+        LAB.replacen("deadline = \"1.2s\"", &format!("deadline = \"1.2s\"\n{more}"), 1)
+    };
+    refused(
+        "over the whole",
+        &status("per-try-timeout = \"2s\""),
+        "per-try",
+        &["one try may take longer than the whole request, 1.2 s"],
+    );
+    refused(
+        "no room",
+        &status("per-try-timeout = \"600ms\"\nmax-attempts = 3"),
+        "max-attempts",
+        &["attempt 3 cannot fit: 2 x per-try-timeout is 1.2 s"],
+    );
+    // Nobody asked for three.
+    assert_eq!(errors(&status("per-try-timeout = \"600ms\"")), Vec::<String>::new());
+    refused(
+        "no copies there",
+        &status("hedge = { after = \"p95\" }"),
+        "hedge",
+        &["does not allow two attempts", "second-copies = true"],
+    );
+    refused("a copy of no time", &status("hedge = true"), "hedge", &["when a copy goes"]);
+    refused(
+        "too many copies",
+        &status("hedge = { after = \"p95\", share = 0.9 }").replacen(
+            "zone = \"charguia\"\n",
+            "zone = \"charguia\"\nsecond-copies = true\n",
+            1,
+        ),
+        "hedge",
+        &["0.9 is not between 0 and 0.5"],
+    );
+    refused(
+        "a falling pause",
+        &status("backoff = { first = \"2s\", most = \"1s\" }"),
+        "backoff",
+        &["shorter than the first"],
+    );
+    refused(
+        "a word",
+        &status("per-try-timeout = \"soon\""),
+        "per-try",
+        &["'soon'", "\"adaptive\" or \"none\""],
+    );
+    refused("seven", &status("max-attempts = 7"), "max-attempts", &["7 is not between 1 and 6"]);
+    let pointless = LAB.replacen(
+        "[classes.flash-device]",
+        "[classes.flash-device]\nper-try-timeout = \"1s\"",
+        1,
+    );
+    refused("nothing to follow", &pointless, "per-try", &["no attempt may follow"]);
+    // Inherited, it harms nothing.
+    assert_eq!(
+        errors(&behind("sockets = 256", "[defaults]\nper-try-timeout = \"1s\"")),
+        Vec::<String>::new()
+    );
+}
+
+#[test]
+fn a_class_that_states_only_its_times_gets_good_ones() {
+    let file = file::read("f", LAB.as_bytes()).unwrap();
+    let module = module(&file, "bench", &file.clusters["bench"]);
+    let number =
+        |class: &str, effect: usize| module.classes[class].numbers[effect].unwrap() as usize;
+    let status = &module.tries[number("device-status", 0)];
+    assert_eq!((status.per_try, status.attempts), (PerTry::Adaptive, 3));
+    let [least, most] = status.bounds;
+    assert_eq!(least, 200_000_000, "half its aim");
+    assert_eq!(most, 400_000_000, "what is answered within the aim is not cut");
+    let queue = &module.tries[number("queue-run", 1)];
+    assert_eq!((queue.per_try, queue.window), (PerTry::Whole, 20_000_000_000));
+    let over = LAB.replacen(
+        "class = \"run-logs\"\n",
+        "class = \"run-logs\"\noverrides = { max-attempts = 2, deadline = \"2s\" }\n",
+        1,
+    );
+    let file = file::read("f", over.as_bytes()).unwrap();
+    let module = mintshelf_config::module::module(&file, "bench", &file.clusters["bench"]);
+    let policy = &file.routes[1].policy;
+    let number = module.classes[policy].numbers[0].unwrap() as usize;
+    assert_eq!(module.settings.classes[number].max_attempts, 2);
+    assert_eq!(module.classes[policy].deadline, 2_000_000_000);
+    assert!(!module.classes.contains_key("run-logs"), "nothing goes by it");
+}
--- a/crates/limits/src/schedule.rs
+++ b/crates/limits/src/schedule.rs
@@ -171,8 +171,8 @@
         let pauses: Nanos = (1..self.attempts).map(|made| self.pause(made)).sum();
         let other = pauses.saturating_add(self.connect.saturating_mul(attempts));
         let most = self.deadline.saturating_sub(other) / attempts;
-        // Where connections and pauses may fill the time, trying again is still worth it.
-        let most = most.max(self.deadline / (4 * attempts)).max(1);
+        // What is answered within the aim is not to be cut, where two such tries fit.
+        let most = most.max(self.aim.min(self.deadline / 2)).max(1);
         let least = (self.aim as f64 * ADAPTIVE_FLOOR) as Nanos;
         [least.min(most), most]
     }
@@ -243,24 +243,22 @@
         if pauses > 0 {
             parts.push(format!("{} backoff", told(pauses)));
         }
+        parts.push(format!("{} to connect again", told(self.connect)));
         parts.join(" + ")
     }
 
-    /// When a keyed request's further attempts and its client's are sure to be over: the last
-    /// moment at which one could reach a server, and the attempt and its sum.
-    fn latest_arrival(&self) -> Option<(u32, Nanos, String)> {
-        let repeats = self.repeats();
-        let last = self.steps().into_iter().rfind(|step| step.number > 1)?;
-        if repeats < 2 {
-            return None;
-        }
+    /// When each further attempt that may follow one that may have run reaches a server at the
+    /// latest: its number, and the time.
+    fn arrivals(&self) -> Vec<(u32, Nanos)> {
+        let steps = self.steps().into_iter().filter(|step| step.number > 1 && self.repeats() > 1);
         // A request reaches its server once it is connected.
-        let at = last.latest.saturating_add(self.connect).min(self.deadline);
-        let mut sum = self.sum(last.number);
-        if self.per_try != PerTry::Whole {
-            sum = format!("{sum} + {} to connect again", told(self.connect));
-        }
-        Some((last.number, at, sum))
+        let at = |step: Step| step.latest.saturating_add(self.connect).min(self.deadline);
+        steps.map(|step| (step.number, at(step))).collect()
+    }
+
+    /// The latest of them; without any, of the first attempt.
+    fn last_arrival(&self) -> Nanos {
+        self.arrivals().last().map_or(self.connect.min(self.deadline), |(_, at)| *at)
     }
 
     /// Everything that the settings break.
@@ -300,15 +298,20 @@
 
     fn window_breaches(&self, breaches: &mut Vec<Breach>) {
         let until = self.window.saturating_sub(TICK);
-        if let Some((attempt, at, sum)) = self.latest_arrival().filter(|(_, at, _)| *at >= until) {
-            breaches.push(Breach::AfterWindow { attempt, at, sum });
+        if until == 0 {
+            // Without a window it is not keyed, which is told elsewhere.
+            return;
+        }
+        let after = self.arrivals().into_iter().find(|(_, at)| *at >= until);
+        if let Some((attempt, at)) = after {
+            breaches.push(Breach::AfterWindow { attempt, at, sum: self.sum(attempt) });
         }
         // Each try of a client may last to the deadline, then it waits as it is told, and its
         // last one reaches a server as late as a further attempt of ours.
         if self.client_retries > 0 {
             let tries = u64::from(self.client_retries);
             let waits = self.deadline.saturating_add(self.advice).saturating_mul(tries);
-            let ours = self.latest_arrival().map_or(self.connect, |(_, at, _)| at);
+            let ours = self.last_arrival();
             let at = waits.saturating_add(ours);
             if at >= until {
                 let sum = format!(
@@ -446,8 +449,8 @@
             writeln!(f, "  try {} [{line}] starts by {from}, ends by {to}", step.number)?;
         }
         if self.effect == Effect::Keyed {
-            let at = self.latest_arrival().map_or(0, |(_, at, _)| at);
-            writeln!(f, "  last arrival by {}, window {}", told(at), told(self.window))?;
+            let at = told(self.last_arrival());
+            writeln!(f, "  the last may reach a server at {at}; window {}", told(self.window))?;
         }
         if self.repeats() < 2 && self.attempts > 1 {
             writeln!(f, "  a further try only if the earlier ones are known not to have run")?;
--- a/crates/mintshelf/src/admin.rs
+++ b/crates/mintshelf/src/admin.rs
@@ -78,6 +78,12 @@
         counters("refusals", "Errors of this side's own, by code", "code", refusals);
         let reloads = daemon.reloads().map(|(result, n)| (result.to_string(), n));
         counters("reloads", "Files read again, by result", "result", reloads.to_vec());
+        let tried = daemon.tried();
+        let of = |which: usize| {
+            tried.iter().map(|(name, counts)| (name.clone(), counts[which])).collect::<Vec<_>>()
+        };
+        counters("tries_cut", "Attempts ended for their own time", "cluster", of(0));
+        counters("second_copies", "Second copies sent", "cluster", of(1));
         let mut gauges = |name: &str, help: &str, label: &'static str, of: Vec<(String, i64)>| {
             let family = Family::<Label, Gauge>::default();
             for (value, level) in of {
--- a/crates/mintshelf/src/daemon.rs
+++ b/crates/mintshelf/src/daemon.rs
@@ -300,6 +300,14 @@
         state.pools.iter().map(pool).collect()
     }
 
+    /// Each cluster's attempts that were ended for their own time, and second copies.
+    pub fn tried(&self) -> Vec<(String, [u64; 2])> {
+        let state = self.state.borrow();
+        let tried =
+            |(name, running): (&String, &Running)| (name.clone(), running.pool.driver.tried());
+        state.pools.iter().map(tried).collect()
+    }
+
     /// What is in force, for `/-/config`.
     pub fn in_force(&self) -> serde_json::Value {
         let state = self.state.borrow();
--- a/crates/mintshelf/src/explain.rs
+++ b/crates/mintshelf/src/explain.rs
@@ -5,6 +5,9 @@
 use humantime::format_duration;
 use mintshelf_balancer::api::Effect;
 use mintshelf_config::model::{File, Then};
+use mintshelf_config::module::plan;
+use mintshelf_limits::schedule::{self, PerTry, RetryOn};
+use mintshelf_limits::tries::CopyAfter;
 use mintshelf_proxy::plain::effect_of;
 use mintshelf_routing::{Probe, Table};
 use std::fmt::{Display, Write};
@@ -82,11 +85,18 @@
 
 /// A line with a setting, and where it came from.
 fn setting(text: &mut String, file: &File, field: &str, value: impl Display) {
-    let from = match file.stated.get(field) {
-        Some(line) => format!("line {line}"),
-        None => "default".to_string(),
+    setting_of(text, file, &[field.to_string()], value);
+}
+
+/// The same for a setting that may stand in several places: the first that states it counts.
+fn setting_of(text: &mut String, file: &File, fields: &[String], value: impl Display) {
+    let stated = fields.iter().find_map(|field| Some((field, file.stated.get(field)?)));
+    let own = fields.iter().rfind(|field| !field.starts_with("defaults."));
+    let _ = match (stated, own) {
+        (Some((field, line)), _) => writeln!(text, "  {field} = {value} (line {line})"),
+        (None, Some(field)) => writeln!(text, "  {field} = {value} (default)"),
+        (None, None) => Ok(()),
     };
-    let _ = writeln!(text, "  {field} = {value} ({from})");
 }
 
 fn told(text: &mut String, file: &File, place: usize, method: &Method, headers: &HeaderMap) {
@@ -107,7 +117,7 @@
         }
         Then::Forward(forward) => forward,
     };
-    let Some(class) = file.classes.get(&route.class) else { return };
+    let Some(class) = file.classes.get(&route.policy) else { return };
     let keyed = headers.contains_key("idempotency-key");
     let effect = effect_of(class.effect, route.effect, method, keyed);
     let told = match effect {
@@ -118,8 +128,9 @@
     let _ = writeln!(text, "class '{}', effect {told}", route.class);
     let of = |key: &str| format!("classes.{}.{key}", route.class);
     let span = |span: Duration| format_duration(span).to_string();
-    setting(text, file, &of("aim"), span(class.aim));
-    setting(text, file, &of("deadline"), span(class.deadline));
+    let over = |key: &str| vec![format!("routes[{place}].overrides.{key}"), of(key)];
+    setting_of(text, file, &over("aim"), span(class.aim));
+    setting_of(text, file, &over("deadline"), span(class.deadline));
     setting(text, file, &of("worth"), class.worth);
     if effect == Effect::Keyed {
         setting(text, file, &of("window"), span(class.window));
@@ -131,7 +142,7 @@
         let of = |key: &str| format!("clusters.{name}.{key}");
         setting(text, file, &of("connect-timeout"), span(cluster.connect_timeout));
         setting(text, file, &of("idle-timeout"), span(cluster.idle_timeout));
-        setting(text, file, &of("max-attempts"), cluster.max_attempts);
+        tries(text, file, place, name, effect);
         let statuses = format!("{:?}", cluster.failure_statuses);
         setting(text, file, &of("failure-statuses"), statuses);
         setting(text, file, &of("warm-up"), span(cluster.warm_up));
@@ -145,3 +156,52 @@
     setting(text, file, "limits.memory", limits.memory);
     setting(text, file, "limits.sockets", limits.sockets);
 }
+
+/// What a request's attempts at a cluster may do, and their schedule as a time line.
+fn tries(text: &mut String, file: &File, place: usize, cluster: &str, effect: Effect) {
+    let route = &file.routes[place];
+    let (Some(class), Some(of)) = (file.classes.get(&route.policy), file.clusters.get(cluster))
+    else {
+        return;
+    };
+    let plan = plan(class, effect, of);
+    let places = |key: &str| {
+        let class = format!("classes.{}.{key}", route.class);
+        vec![format!("routes[{place}].overrides.{key}"), class, format!("defaults.{key}")]
+    };
+    let mut attempts = places("max-attempts");
+    attempts.push(format!("clusters.{cluster}.max-attempts"));
+    setting_of(text, file, &attempts, plan.attempts);
+    let per_try = match plan.per_try {
+        _ if effect == Effect::Unsafe || plan.attempts < 2 => "none".to_string(),
+        PerTry::Whole => "none".to_string(),
+        PerTry::Fixed(span) => schedule::told(span),
+        PerTry::Adaptive => {
+            let [least, most] = plan.adaptive_bounds().map(schedule::told);
+            format!("adaptive, {least} to {most} by the answers seen")
+        }
+    };
+    setting_of(text, file, &places("per-try-timeout"), per_try);
+    let [first, most] = plan.backoff.map(schedule::told);
+    setting_of(text, file, &places("backoff"), format!("up to {first}, doubling to {most}"));
+    let retry_on = match plan.retry_on {
+        RetryOn::NeverRan => "never-ran",
+        RetryOn::MayHaveRun => "may-have-run",
+    };
+    setting_of(text, file, &places("retry-on"), retry_on);
+    let hedge = match class.tries.hedge.flatten().filter(|_| effect == Effect::Safe) {
+        None => "none".to_string(),
+        Some(hedge) => {
+            let after = match hedge.after {
+                CopyAfter::Span(span) => schedule::told(span),
+                CopyAfter::P95 => "the time in which 95 of a hundred answers come".to_string(),
+            };
+            format!("after {after}, {} of the requests at most", hedge.share)
+        }
+    };
+    setting_of(text, file, &places("hedge"), hedge);
+    let (ratio, burst) = of.retry_budget;
+    let field = format!("clusters.{cluster}.retry-budget");
+    setting(text, file, &field, format!("{ratio} a request, {burst} saved"));
+    let _ = write!(text, "{plan}");
+}
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -17,7 +17,7 @@
 use mintshelf_balancer::decide::Balancer;
 use mintshelf_config::platform::Names;
 use mintshelf_limits::tries::{Cut, Tries, TryPlan};
-use mintshelf_recovery::{End, Phase, Recovery};
+use mintshelf_recovery::{End, Phase, Recovery, WINDOW_PART};
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::future::poll_fn;
@@ -32,12 +32,21 @@
 /// Tells a server how long this sidecar will wait.
 const REMAINING: HeaderName = HeaderName::from_static("x-remaining-ms");
 
+const SECOND: Nanos = 1_000_000_000;
+/// A client that is told when to come back may take so long longer.
+const ADVICE_MARGIN: Nanos = SECOND;
+
 /// What a client is told in the end.
 pub enum Reply {
     /// The server's answer.
     Served(Box<Answer>),
     /// Trying again is harmless, after a while.
-    Refused(Nanos),
+    Refused {
+        /// So long.
+        after: Nanos,
+        /// When the first attempt went that may have run, if any.
+        ran_at: Option<Nanos>,
+    },
     /// The same, while the whole cluster is out or coming back.
     Paced(Nanos),
     /// Nothing is promised.
@@ -298,7 +307,7 @@
                     }
                 }
                 Action::Refuse { id, retry_after } => {
-                    drop(core.conclude(&id, Reply::Refused(retry_after)));
+                    drop(core.refuse(&id, retry_after));
                 }
                 Action::Fail { id } => {
                     drop(core.conclude(&id, Reply::Failed { timed_out: false }));
@@ -352,11 +361,14 @@
         };
         let class = arrival.class;
         if !recovery.borrow_mut().pace.admit(now) {
-            return Some(Reply::Paced(self.come_back(class)));
+            return Some(Reply::Paced(self.come_back(class, None).unwrap_or(0)));
         }
         let reply = self.attend(now, arrival, message).await?;
         Some(match reply {
-            Reply::Refused(_) => Reply::Refused(self.come_back(class)),
+            Reply::Refused { ran_at, .. } => match self.come_back(class, ran_at) {
+                Some(after) => Reply::Refused { after, ran_at },
+                None => Reply::Failed { timed_out: false },
+            },
             Reply::Served(answer) if !answer.status.is_server_error() => {
                 recovery.borrow_mut().calendar.served(self.clock.now());
                 Reply::Served(answer)
@@ -365,13 +377,20 @@
         })
     }
 
-    /// When a client that is refused now is told to come back.
-    fn come_back(&self, class: u32) -> Nanos {
+    /// When a client that is refused now is told to come back. None if it could only come
+    /// when servers have forgotten the key of what may have run at `ran_at`: it may not be
+    /// told to repeat that.
+    fn come_back(&self, class: u32, ran_at: Option<Nanos>) -> Option<Nanos> {
         let window = self.classes.get(class as usize).filter(|c| c.effect == Effect::Keyed);
-        let window = window.map(|class| class.dedup_window);
+        let mut window = window.map(|class| class.dedup_window);
         let now = self.clock.now();
+        if let Some((span, ran_at)) = window.zip(ran_at) {
+            let left = ran_at.saturating_add(span).saturating_sub(now);
+            let most = left.checked_sub(ADVICE_MARGIN).filter(|most| *most >= SECOND)?;
+            window = Some(span.min(most.saturating_mul(WINDOW_PART)));
+        }
         let advice = |r: &RefCell<Recovery>| r.borrow_mut().calendar.advise(now, window);
-        self.recovery.as_ref().map_or(0, advice) * 1_000_000_000
+        Some(self.recovery.as_ref().map_or(0, advice) * SECOND)
     }
 
     async fn attend(
@@ -574,11 +593,20 @@
 }
 
 impl Core {
+    /// Refuses a request, and tells what is known of its attempts.
+    fn refuse(&mut self, id: &RequestId, after: Nanos) -> Option<Reply> {
+        let first = |taken: &Taken| taken.attempts.iter().find(|a| !a.never_ran).map(|a| a.sent);
+        let ran_at = self.taken.get(id).and_then(first);
+        self.conclude(id, Reply::Refused { after, ran_at })
+    }
+
     /// Gives a client its final answer; back comes one that nobody takes.
     fn conclude(&mut self, id: &RequestId, reply: Reply) -> Option<Reply> {
         let Some(taken) = self.taken.get_mut(id) else { return Some(reply) };
         let reply = match (reply, taken.kept.take()) {
-            (Reply::Refused(_) | Reply::Failed { .. }, Some(kept)) => Reply::Served(Box::new(kept)),
+            (Reply::Refused { .. } | Reply::Failed { .. }, Some(kept)) => {
+                Reply::Served(Box::new(kept))
+            }
             (Reply::Failed { .. }, None) => Reply::Failed { timed_out: taken.timed_out },
             (reply, _) => reply,
         };
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -226,7 +226,7 @@
         let message = Message { request, txn: None, _room: room };
         match pool.driver.serve(arrival, message).await {
             Some(Reply::Served(answer)) => Ok(self.passed(serving, forward, *answer)),
-            Some(Reply::Refused(after)) => {
+            Some(Reply::Refused { after, .. }) => {
                 let what = "no server can take it now; it has not run";
                 let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "overloaded", what);
                 Err(refusal.after(after))
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -64,7 +64,7 @@
                     strip_hop_by_hop(&mut headers);
                     (StatusCode::OK, answer.body.whole())
                 }
-                Ok(Reply::Refused(after) | Reply::Paced(after)) => {
+                Ok(Reply::Refused { after, .. } | Reply::Paced(after)) => {
                     let seconds = HeaderValue::from_str(&format!("{:.3}", after as f64 / 1e9));
                     if let Some(seconds) = seconds.ok().filter(|_| after > 0) {
                         headers.insert(header::RETRY_AFTER, seconds);
--- a/crates/recovery/src/calendar.rs
+++ b/crates/recovery/src/calendar.rs
@@ -11,7 +11,7 @@
 pub const MOST_SECONDS: u64 = 600;
 /// A keyed request is told to come back within this part of the time for which servers drop
 /// its repeats. Danger: an earlier try may have run, and one that comes too late runs again.
-const WINDOW_PART: u64 = 4;
+pub const WINDOW_PART: u64 = 4;
 /// Clients that come back may add this part of the usual answers in any second.
 const COME_BACK_SHARE: f64 = 0.2;
 
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -9,7 +9,7 @@
 /// A second in nanoseconds.
 const SECOND: u64 = 1_000_000_000;
 
-pub use calendar::{Calendar, MOST_SECONDS};
+pub use calendar::{Calendar, MOST_SECONDS, WINDOW_PART};
 pub use pace::{End, Pace, Phase};
 
 /// What one cluster's sidecar does about outages.
