--- a/crates/config/src/file/clusters.rs
+++ b/crates/config/src/file/clusters.rs
@@ -1,5 +1,6 @@
 //! Clusters and their endpoints.
 
+use super::limits;
 use super::reader::{At, Table};
 use super::{header_name, ms, parse_address, ADDRESS, EVER, HEADER};
 use crate::model::{Cluster, Endpoint};
@@ -79,6 +80,8 @@
         never_ran_header: never_ran.map(|at| at.value),
         warm_up: warm_up.value,
         warm_from: warm_from.value,
+        concurrency: limits::concurrency(table),
+        connections: limits::connections(table),
         max_retry_after: retry.value,
         return_ramp: ramp.value,
     }
--- a/crates/config/src/file/mod.rs
+++ b/crates/config/src/file/mod.rs
@@ -2,6 +2,7 @@
 
 mod checks;
 mod clusters;
+mod limits;
 mod reader;
 mod routes;
 mod tries;
@@ -79,7 +80,7 @@
 }
 
 fn top_level(top: &Table, hash: u64) -> File {
-    let limits = limits(top.table("limits"));
+    let process = process_limits(top.table("limits"));
     let forwarding = forwarding(top.table("forwarding"));
     let admin = top.table("admin").and_then(|table| {
         let address = address(&table, "address");
@@ -87,6 +88,8 @@
         address
     });
     let listeners = listeners(top);
+    let (tenants, tenant_header) = limits::tenants(top, &listeners);
+    let repeat_header = top.parsed("repeat-header", HEADER, header_name).map(|at| at.value);
     let defaults = top.table("defaults").map_or_else(Stated::default, |table| {
         let stated = tries::read(&table, &Stated::default());
         table.finish();
@@ -98,13 +101,17 @@
     checks::listeners(top, &listeners, admin.as_ref());
     checks::references(top, &routes, &listeners, &classes, &clusters);
     checks::reach(top, &routes, &listeners);
+    limits::route_names(top, &routes);
     tries::check(top, &routes, &policies, &clusters);
     File {
         listeners: listeners.into_iter().map(|l| l.value).collect(),
         routes: routes.into_iter().map(|r| r.route).collect(),
         classes: policies.into_iter().map(|(name, read)| (name, read.class)).collect(),
         clusters: clusters.into_iter().map(|(name, cluster)| (name, cluster.value)).collect(),
-        limits,
+        limits: process,
+        tenants,
+        tenant_header,
+        repeat_header,
         forwarding,
         admin: admin.map(|at| at.value),
         hash,
@@ -155,7 +162,7 @@
     listeners
 }
 
-fn limits(table: Option<Table>) -> Limits {
+fn process_limits(table: Option<Table>) -> Limits {
     let standard = Limits {
         memory: 64 << 20,
         sockets: 1024,
--- a/crates/config/src/file/reader.rs
+++ b/crates/config/src/file/reader.rs
@@ -24,7 +24,7 @@
     name: &'a str,
     places: Places<'a>,
     problems: RefCell<Vec<(usize, Problem)>>,
-    stated: RefCell<BTreeMap<String, usize>>,
+    stated: RefCell<BTreeMap<String, Range<usize>>>,
 }
 
 impl<'a> Reader<'a> {
@@ -69,14 +69,21 @@
     }
 
     fn state(&self, field: &str, span: &Range<usize>) {
-        self.stated.borrow_mut().insert(field.to_string(), self.line(span));
+        self.stated.borrow_mut().insert(field.to_string(), span.clone());
+    }
+
+    /// Where a field stands that was stated; else the file's beginning.
+    pub fn span_of(&self, field: &str) -> Range<usize> {
+        self.stated.borrow().get(field).cloned().unwrap_or(0..0)
     }
 
     /// All that was noted, in the order of the text, and what was stated where.
     pub fn finish(self) -> (Vec<(usize, Problem)>, BTreeMap<String, usize>) {
         let mut problems = self.problems.into_inner();
         problems.sort_by_key(|(at, problem)| (*at, problem.what.clone()));
-        (problems, self.stated.into_inner())
+        let stated = self.stated.into_inner().into_iter();
+        let stated = stated.map(|(field, span)| (field, self.places.of(span.start).0)).collect();
+        (problems, stated)
     }
 }
 
--- a/crates/config/src/file/routes.rs
+++ b/crates/config/src/file/routes.rs
@@ -1,11 +1,13 @@
 //! Routes: what they ask, and what comes of it.
 
+use super::limits;
 use super::reader::{At, Table};
 use super::tries::ReadClass;
 use super::{effect, header_name, Span, DEFAULT_CLASS, HEADER};
 use crate::model::*;
 use crate::problem::BrokenRule;
 use http::{HeaderName, HeaderValue, Method, StatusCode};
+use mintshelf_limits::admission::LimitSet;
 use mintshelf_routing::{Host, PathMatch, Pattern, Rule, Split, Test, Value};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -67,6 +69,11 @@
         line: table.reader.line(&span),
         listeners: listeners.iter().map(|at| at.value.clone()).collect(),
         rule,
+        limit: table.table("limits").map_or_else(LimitSet::default, |inner| {
+            let limit = limits::limit(&inner);
+            inner.finish();
+            limit
+        }),
         class: class_name,
         policy,
         effect,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod admission;
 pub mod file;
 pub mod model;
 pub mod module;
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -2,7 +2,9 @@
 //! still has to be read.
 
 use http::{HeaderName, HeaderValue, StatusCode};
+use ipnet::IpNet;
 use mintshelf_balancer::api::Effect;
+use mintshelf_limits::admission::LimitSet;
 use mintshelf_limits::schedule::{DedupGroup, PerTry, RetryOn};
 use mintshelf_limits::tries::Hedge;
 use mintshelf_routing::{Rule, Split};
@@ -24,6 +26,12 @@
     pub clusters: BTreeMap<String, Cluster>,
     /// What the process may hold.
     pub limits: Limits,
+    /// Who shares the installation, in the order of the file.
+    pub tenants: Vec<Tenant>,
+    /// The header that names a request's tenant.
+    pub tenant_header: Option<HeaderName>,
+    /// The header by which a client marks a request as one that it repeats.
+    pub repeat_header: Option<HeaderName>,
     /// What is told of this hop.
     pub forwarding: Forwarding,
     /// Where figures are given out; off if absent.
@@ -81,6 +89,23 @@
     pub group: Option<DedupGroup>,
 }
 
+/// Somebody who shares the installation.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Tenant {
+    /// Its name.
+    pub name: String,
+    /// Its part against the others'.
+    pub share: f64,
+    /// Its clients' networks.
+    pub networks: Vec<IpNet>,
+    /// Listeners that are its own.
+    pub listeners: Vec<String>,
+    /// Values of the tenant header that name it.
+    pub values: Vec<String>,
+    /// What it is limited to.
+    pub limit: LimitSet,
+}
+
 /// Servers that do the same.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Cluster {
@@ -106,6 +131,10 @@
     pub warm_up: Duration,
     /// The part of its capacity at which it starts.
     pub warm_from: f64,
+    /// Most requests at one time, and most that wait; no limit if absent.
+    pub concurrency: Option<(u32, u32)>,
+    /// Most connections to all its endpoints, and to each of them.
+    pub connections: [Option<u32>; 2],
     /// Longest advice on when to come back.
     pub max_retry_after: Duration,
     /// Shortest time in which traffic returns after an outage of the whole cluster; 0 for
@@ -144,6 +173,8 @@
     pub policy: String,
     /// The effect of all its requests, where the operator knows better than their methods.
     pub effect: Option<Effect>,
+    /// What it is limited to.
+    pub limit: LimitSet,
     /// What comes of them.
     pub then: Then,
 }
@@ -239,6 +270,10 @@
     pub stream_timeout: Duration,
 }
 
+/// Part of the memory limit that the bodies of requests may fill. The rest is for the
+/// libraries' buffers (32 KiB each way a connection at most) and for answers.
+pub const BODY_SHARE: f64 = 0.3;
+
 /// What is told of this hop.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Forwarding {
--- a/crates/config/src/module.rs
+++ b/crates/config/src/module.rs
@@ -26,6 +26,8 @@
     pub numbers: [Option<u32>; 3],
     /// How long a request may wait.
     pub deadline: Nanos,
+    /// What an answer is worth.
+    pub worth: f64,
 }
 
 /// What a cluster's instance of the module is started with.
@@ -37,6 +39,8 @@
     pub classes: BTreeMap<String, ModuleClass>,
     /// Its servers, with their addresses.
     pub servers: Vec<(ListedServer, SocketAddr)>,
+    /// Most connections to all endpoints, and to each.
+    pub connections: [Option<u32>; 2],
     /// The ramp after an outage.
     pub return_ramp: Nanos,
     /// What the attempts of each of the settings' classes may do.
@@ -161,7 +165,12 @@
                 backoff: plan.backoff,
             });
         }
-        let class = ModuleClass { effect: class.effect, numbers, deadline: nanos(class.deadline) };
+        let class = ModuleClass {
+            effect: class.effect,
+            numbers,
+            deadline: nanos(class.deadline),
+            worth: class.worth,
+        };
         classes.insert(name.clone(), class);
     }
     let zones: BTreeSet<&str> = std::iter::once(cluster.zone.as_str())
@@ -212,7 +221,14 @@
         ..Settings::default()
     };
     let return_ramp = nanos(cluster.return_ramp);
-    Module { settings, classes, servers: servers.collect(), return_ramp, tries }
+    Module {
+        settings,
+        classes,
+        servers: servers.collect(),
+        connections: cluster.connections,
+        return_ramp,
+        tries,
+    }
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/config/tests/limits.rs
@@ -0,0 +1,111 @@
+//! Limits and tenants as a file states them, and what is wrong with them.
+
+use mintshelf_config::admission::{admission, tenants};
+use mintshelf_config::file;
+
+const LAB: &str = include_str!("../../../deploy/lab.toml");
+
+fn with(more: &str) -> String {
+    LAB.replacen("# What the process may hold", &format!("{more}\n# What the process may hold"), 1)
+}
+
+fn errors(text: &str) -> Vec<String> {
+    let problems = file::read("f", text.as_bytes()).err().unwrap_or_default();
+    problems.iter().map(|p| p.to_string()).collect()
+}
+
+fn refused(more: &str, parts: &[&str]) {
+    // The header's name must stand before the first table.
+    let text = format!("tenant-header = \"x-member\"\n{}", with(more));
+    let errors = errors(&text);
+    assert_eq!(errors.len(), 1, "{more}: {errors:#?}");
+    let line: usize = errors[0].split(':').nth(1).unwrap().parse().unwrap();
+    assert!((2..40).contains(&line), "{more}: {}", errors[0]);
+    for part in parts {
+        assert!(errors[0].contains(part), "'{part}' in {}", errors[0]);
+    }
+}
+
+#[test]
+fn a_file_with_tenants_is_laid_out() {
+    let text = format!(
+        "tenant-header = \"x-member\"\n{}",
+        with(
+            "[tenants.orange]\nshare = 2\nnetworks = [\"10.1.0.0/16\", \"2001:db8:1::/48\"]\n\
+             rate = \"100/s\"\nconcurrency = 20\n\
+             [tenants.telecom]\nheader-values = [\"tt\"]\nnetworks = \"10.1.7.0/24\"\n\
+             within = \"orange\"\n"
+        )
+    );
+    let text = text.replacen(
+        "zone = \"charguia\"",
+        "concurrency = 40\nqueue = 80\nzone = \"charguia\"",
+        1,
+    );
+    let text = text.replacen(
+        "name = \"flash\"",
+        "name = \"flash\"\nlimits = { concurrency = 3, rate = \"30/m\" }",
+        1,
+    );
+    assert_eq!(errors(&text), Vec::<String>::new());
+    let file = file::read("f", text.as_bytes()).unwrap();
+    let set = admission(&file);
+    assert_eq!(set.tenants["orange"].most, Some(20));
+    let rate = set.tenants["orange"].rate.unwrap();
+    assert_eq!((rate.count.get(), rate.burst.get()), (100, 100));
+    // By its share of half of 256 descriptors: 1 of 4 parts.
+    assert_eq!(set.tenants["telecom"].most, Some(32));
+    assert_eq!(set.tenants["others"].most, Some(32));
+    assert_eq!((set.clusters["bench"].most, set.clusters["bench"].queue), (40, 80));
+    assert_eq!(set.clusters["bench"].shares["orange"], 2.0);
+    assert_eq!(set.routes["flash"].most, Some(3));
+    let tenants = tenants(&file).unwrap();
+    let of = |ip: &str, header| tenants.of(ip.parse().unwrap(), "members", header).to_string();
+    assert_eq!(of("10.1.2.3", Some("tt")), "orange");
+    assert_eq!(of("10.1.7.3", None), "telecom");
+    assert_eq!(of("2001:db8:1::9", None), "orange");
+    assert_eq!(of("10.9.9.9", Some("tt")), "telecom");
+    assert_eq!(of("10.9.9.9", None), "others");
+    // Without any of it nothing is limited, and nothing is asked.
+    assert!(admission(&file::read("f", LAB.as_bytes()).unwrap()).is_empty());
+}
+
+#[test]
+fn what_is_wrong_with_tenants_is_told() {
+    let a = "[tenants.a]\nnetworks = \"10.0.0.0/8\"\n";
+    refused(
+        &format!("{a}[tenants.b]\nnetworks = \"10.1.0.0/16\""),
+        &["10.1.0.0/16 overlaps 10.0.0.0/8 of tenant 'a' in line 10", "within = \"a\""],
+    );
+    refused(
+        &format!("[tenants.b]\nnetworks = \"10.0.0.0/8\"\nwithin = \"a\"\n{a}"),
+        &["10.0.0.0/8 overlaps 10.0.0.0/8 of tenant"],
+    );
+    refused(
+        "[tenants.a]\nnetworks = \"10.0.0.1/8\"",
+        &["has bits behind its prefix", "write 10.0.0.0/8"],
+    );
+    refused("[tenants.a]\nnetworks = \"10.0.0.0/33\"", &["is not a network"]);
+    refused(&format!("{a}within = \"b\""), &["there is no such tenant"]);
+    refused("[tenants.a]\nshare = 2", &["nothing tells whose requests"]);
+    refused("[tenants.a]\nlisteners = \"x\"", &["there is no such listener"]);
+    refused(
+        "[tenants.others]\nnetworks = \"10.0.0.0/8\"",
+        &["'others' are those who are no tenant"],
+    );
+    refused(&format!("{a}rate = \"much\""), &["is not a rate", "\"100/s\""]);
+    refused(&format!("{a}rate = \"0/s\""), &["would let nothing through"]);
+    refused(&format!("{a}burst = 3"), &["has no effect without a rate"]);
+    refused(
+        "[tenants.a]\nheader-values = \"x\"\n[tenants.b]\nheader-values = \"x\"",
+        &["'x' is of tenant 'a' already"],
+    );
+    let text = with("[tenants.a]\nheader-values = \"x\"");
+    assert!(errors(&text)[0].contains("no header names tenants"), "{:?}", errors(&text));
+    let queue = LAB.replacen("zone = \"charguia\"", "queue = 3\nzone = \"charguia\"", 1);
+    assert!(errors(&queue)[0].contains("has no effect without a limit"));
+    let twice = LAB
+        .replacen("name = \"flash\"", "name = \"queue\"\nlimits = { concurrency = 3 }", 1)
+        .replacen("name = \"queue\"", "name = \"queue\"\nlimits = { concurrency = 3 }", 1);
+    assert!(errors(&twice)[0].contains("is limited too"), "{:?}", errors(&twice));
+}
--- /dev/null
+++ b/crates/limits/src/admission.rs
@@ -0,0 +1,204 @@
+//! All limits of an installation: of tenants and routes, which refuse at once, and of
+//! clusters, which let wait. They outlive the files that set them: what is under way counts on.
+
+use crate::gate::{Gate, GateSet, Moves, Offer, Ticket, Verdict};
+use crate::rate::{Rate, RateSet};
+use mintshelf_balancer::api::Nanos;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// What a tenant or a route is limited to.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct LimitSet {
+    /// Requests in a time.
+    pub rate: Option<RateSet>,
+    /// Requests at one time.
+    pub most: Option<u32>,
+    /// Bytes of requests' bodies that are held.
+    pub bytes: Option<u64>,
+}
+
+impl LimitSet {
+    /// Whether it limits nothing.
+    pub fn is_none(&self) -> bool {
+        *self == LimitSet::default()
+    }
+}
+
+/// What a file sets.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct AdmissionSet {
+    /// By tenant.
+    pub tenants: BTreeMap<Rc<str>, LimitSet>,
+    /// By route.
+    pub routes: BTreeMap<Rc<str>, LimitSet>,
+    /// By cluster; those without a limit are not in it.
+    pub clusters: BTreeMap<Rc<str>, GateSet>,
+}
+
+impl AdmissionSet {
+    /// Whether nothing is limited.
+    pub fn is_empty(&self) -> bool {
+        self.tenants.is_empty() && self.routes.is_empty() && self.clusters.is_empty()
+    }
+}
+
+/// A limit that refused a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Over {
+    /// More in a time than the tenant may.
+    TenantRate(Nanos),
+    /// More at one time than the tenant may.
+    TenantConcurrency,
+    /// More in a time than the route takes.
+    RouteRate(Nanos),
+    /// More at one time than the route takes.
+    RouteConcurrency,
+}
+
+#[derive(Debug, Default)]
+struct Limit {
+    set: LimitSet,
+    rate: Option<Rate>,
+    held: u32,
+    bytes: u64,
+}
+
+impl Limit {
+    fn set(&mut self, now: Nanos, set: LimitSet) {
+        // One that stays as it was keeps what it has used up.
+        if self.set.rate != set.rate {
+            self.rate = set.rate.map(|rate| Rate::new(rate, now));
+        }
+        self.set = set;
+    }
+
+    fn is_full(&self) -> bool {
+        self.set.most.is_some_and(|most| self.held >= most)
+    }
+
+    fn take(&self, now: Nanos) -> Result<(), Nanos> {
+        self.rate.as_ref().map_or(Ok(()), |rate| rate.take(now))
+    }
+}
+
+/// How much is under way, for the figures.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Levels {
+    /// Requests by tenant.
+    pub tenants: Vec<(String, u32)>,
+    /// At each cluster, those that have a place, and those that wait for one.
+    pub clusters: Vec<(String, [usize; 2])>,
+}
+
+/// Every limit, with what counts against it.
+#[derive(Debug, Default)]
+pub struct Admission {
+    tenants: BTreeMap<Rc<str>, Limit>,
+    routes: BTreeMap<Rc<str>, Limit>,
+    clusters: BTreeMap<Rc<str>, Gate>,
+}
+
+fn apply(limits: &mut BTreeMap<Rc<str>, Limit>, now: Nanos, sets: &BTreeMap<Rc<str>, LimitSet>) {
+    limits.retain(|name, limit| sets.contains_key(name) || limit.held > 0);
+    for (_, limit) in limits.iter_mut().filter(|(name, _)| !sets.contains_key(*name)) {
+        limit.set(now, LimitSet::default());
+    }
+    for (name, set) in sets {
+        limits.entry(name.clone()).or_default().set(now, *set);
+    }
+}
+
+impl Admission {
+    /// Puts a file's limits in force. Those under way count on, by their names; what waits at
+    /// a cluster that is limited no longer goes.
+    pub fn set(&mut self, now: Nanos, set: &AdmissionSet) -> BTreeMap<Rc<str>, Moves> {
+        apply(&mut self.tenants, now, &set.tenants);
+        apply(&mut self.routes, now, &set.routes);
+        let unlimited = GateSet { most: u32::MAX, queue: u32::MAX, ..GateSet::default() };
+        let mut moves = BTreeMap::new();
+        for (name, gate) in &mut self.clusters {
+            let set = set.clusters.get(name).unwrap_or(&unlimited);
+            moves.insert(name.clone(), gate.set(now, set.clone()));
+        }
+        self.clusters.retain(|name, gate| set.clusters.contains_key(name) || gate.levels()[0] > 0);
+        for (name, gate) in &set.clusters {
+            self.clusters.entry(name.clone()).or_insert_with(|| Gate::new(gate.clone()));
+        }
+        moves
+    }
+
+    /// A request has come. [`Admission::leave`] is owed if it may go on.
+    pub fn enter(&mut self, now: Nanos, tenant: &str, route: &str) -> Result<(), Over> {
+        let (tenants, routes) = (&mut self.tenants, &mut self.routes);
+        let (mut of, mut at) = (tenants.get_mut(tenant), routes.get_mut(route));
+        // What takes nothing away is asked first: a request refused has used up no rate.
+        if of.as_ref().is_some_and(|limit| limit.is_full()) {
+            return Err(Over::TenantConcurrency);
+        }
+        if at.as_ref().is_some_and(|limit| limit.is_full()) {
+            return Err(Over::RouteConcurrency);
+        }
+        if let Some(limit) = &of {
+            limit.take(now).map_err(Over::TenantRate)?;
+        }
+        if let Some(limit) = &at {
+            limit.take(now).map_err(Over::RouteRate)?;
+        }
+        for limit in [&mut of, &mut at].into_iter().flatten() {
+            limit.held += 1;
+        }
+        Ok(())
+    }
+
+    /// A request that entered is over.
+    pub fn leave(&mut self, tenant: &str, route: &str) {
+        let limits = [self.tenants.get_mut(tenant), self.routes.get_mut(route)];
+        for limit in limits.into_iter().flatten() {
+            limit.held = limit.held.saturating_sub(1);
+        }
+    }
+
+    /// Takes so many bytes for a tenant's body; whether they are there. [`Admission::empty`]
+    /// is owed if so.
+    pub fn fill(&mut self, tenant: &str, bytes: u64) -> bool {
+        let Some(limit) = self.tenants.get_mut(tenant) else { return true };
+        let after = limit.bytes.saturating_add(bytes);
+        if limit.set.bytes.is_some_and(|most| after > most) {
+            return false;
+        }
+        limit.bytes = after;
+        true
+    }
+
+    /// A body is no longer held.
+    pub fn empty(&mut self, tenant: &str, bytes: u64) {
+        if let Some(limit) = self.tenants.get_mut(tenant) {
+            limit.bytes = limit.bytes.saturating_sub(bytes);
+        }
+    }
+
+    /// A request wants to go to a cluster; none if that has no limit.
+    pub fn offer(&mut self, now: Nanos, cluster: &str, offer: Offer) -> Option<(Verdict, Moves)> {
+        self.clusters.get_mut(cluster).map(|gate| gate.offer(now, offer))
+    }
+
+    /// One that went to a cluster is over.
+    pub fn done(&mut self, now: Nanos, cluster: &str, tenant: &Rc<str>) -> Moves {
+        self.clusters.get_mut(cluster).map_or_else(Moves::default, |gate| gate.done(now, tenant))
+    }
+
+    /// One that waited for a cluster does so no longer.
+    pub fn give_up(&mut self, cluster: &str, ticket: Ticket) {
+        if let Some(gate) = self.clusters.get_mut(cluster) {
+            gate.leave(ticket);
+        }
+    }
+
+    /// How much is under way.
+    pub fn levels(&self) -> Levels {
+        let tenants = self.tenants.iter().map(|(name, limit)| (name.to_string(), limit.held));
+        let clusters = self.clusters.iter().map(|(name, gate)| (name.to_string(), gate.levels()));
+        Levels { tenants: tenants.collect(), clusters: clusters.collect() }
+    }
+}
--- /dev/null
+++ b/crates/limits/src/gate.rs
@@ -0,0 +1,270 @@
+//! A bounded number of requests at one time, shared between tenants, and a bounded queue.
+//!
+//! Who is within its part of the places goes at once; what is free beyond that is anybody's,
+//! less what those who are active have not taken of theirs. Who has to wait does so in a queue
+//! that is ordered by tenant (the one with the least for its share), then first tries before
+//! repeats, worth before age, the earlier deadline first. What is over the bound is refused at
+//! once, and the least of all that wait is what goes: not the one that came last.
+
+use mintshelf_balancer::api::Nanos;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+
+/// A tenant keeps its part for so long after it last asked.
+const ACTIVE: Nanos = 1_000_000_000;
+
+/// What a gate is set to.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct GateSet {
+    /// Most at one time.
+    pub most: u32,
+    /// Most that wait.
+    pub queue: u32,
+    /// Shares of tenants; 1 for one that is not named.
+    pub shares: BTreeMap<Rc<str>, f64>,
+}
+
+/// A request that wants through.
+#[derive(Debug, Clone)]
+pub struct Offer {
+    /// Whose it is.
+    pub tenant: Rc<str>,
+    /// Its client has asked for it before.
+    pub repeat: bool,
+    /// What its answer is worth.
+    pub worth: f64,
+    /// When its client's time is up.
+    pub deadline: Nanos,
+    /// What an answer usually takes.
+    pub needs: Nanos,
+}
+
+/// A place in the queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Ticket(u64);
+
+/// What becomes of an offer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It goes now, and [`Gate::done`] is owed.
+    Go,
+    /// It waits until one of the lists of [`Moves`] names its ticket, or it leaves.
+    Wait(Ticket),
+    /// It is refused.
+    Refused(Why),
+}
+
+/// Why something is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Why {
+    /// The queue is at its bound, and the others in it come first.
+    Full,
+    /// It can't be answered in the time that is left.
+    TooLate,
+}
+
+/// What else follows: tickets that go now, and that are refused.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Moves {
+    /// They go, and [`Gate::done`] is owed for each.
+    pub go: Vec<Ticket>,
+    /// They are refused.
+    pub refused: Vec<(Ticket, Why)>,
+}
+
+/// What comes first in a tenant's queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    repeat: bool,
+    /// Bits of a number that is not negative: they are ordered as it is.
+    worth: Reverse<u64>,
+    deadline: Nanos,
+    ticket: Ticket,
+}
+
+#[derive(Debug, Default)]
+struct Member {
+    held: u32,
+    queue: BTreeMap<Rank, Nanos>,
+    seen: Nanos,
+}
+
+impl Member {
+    fn load(&self) -> u32 {
+        self.held + self.queue.len() as u32
+    }
+}
+
+/// A gate.
+#[derive(Debug, Default)]
+pub struct Gate {
+    set: GateSet,
+    held: u32,
+    members: BTreeMap<Rc<str>, Member>,
+    waiting: HashMap<Ticket, (Rc<str>, Rank)>,
+    last: u64,
+}
+
+impl Gate {
+    /// With nobody in it.
+    pub fn new(set: GateSet) -> Self {
+        Gate { set, ..Gate::default() }
+    }
+
+    /// How many are in it, and how many wait.
+    pub fn levels(&self) -> [usize; 2] {
+        [self.held as usize, self.waiting.len()]
+    }
+
+    /// Changes what it is set to. Those that are in it stay and count, those that wait keep
+    /// their place unless the queue is now too short for them.
+    pub fn set(&mut self, now: Nanos, set: GateSet) -> Moves {
+        self.set = set;
+        let mut moves = Moves::default();
+        while self.waiting.len() > self.set.queue as usize {
+            let Some(ticket) = self.heaviest().and_then(|tenant| self.pop_last(&tenant)) else {
+                break;
+            };
+            moves.refused.push((ticket, Why::Full));
+        }
+        self.grant(now, &mut moves);
+        moves
+    }
+
+    fn share(&self, tenant: &str) -> f64 {
+        self.set.shares.get(tenant).copied().unwrap_or(1.0).max(f64::MIN_POSITIVE)
+    }
+
+    fn is_active(member: &Member, now: Nanos) -> bool {
+        member.load() > 0 || now.saturating_sub(member.seen) < ACTIVE
+    }
+
+    /// The places that are a tenant's own, given the shares of those that are active.
+    fn part(&self, tenant: &str, all: f64) -> u32 {
+        (f64::from(self.set.most) * self.share(tenant) / all) as u32
+    }
+
+    fn may_go(&self, now: Nanos, tenant: &str) -> bool {
+        let free = self.set.most.saturating_sub(self.held);
+        if free == 0 {
+            return false;
+        }
+        let active = || self.members.iter().filter(|(_, m)| Self::is_active(m, now));
+        let all: f64 = active().map(|(name, _)| self.share(name)).sum();
+        let held = self.members.get(tenant).map_or(0, |member| member.held);
+        if held < self.part(tenant, all) {
+            return true;
+        }
+        let others = active().filter(|(name, _)| &***name != tenant);
+        let kept = others.map(|(name, m)| self.part(name, all).saturating_sub(m.held));
+        free > kept.sum()
+    }
+
+    /// A request wants through.
+    pub fn offer(&mut self, now: Nanos, offer: Offer) -> (Verdict, Moves) {
+        let mut moves = Moves::default();
+        let member = self.members.entry(offer.tenant.clone()).or_default();
+        member.seen = now;
+        let first = member.queue.is_empty();
+        if now.saturating_add(offer.needs) >= offer.deadline {
+            return (Verdict::Refused(Why::TooLate), moves);
+        }
+        if first && self.may_go(now, &offer.tenant) {
+            self.enter(&offer.tenant);
+            return (Verdict::Go, moves);
+        }
+        self.last += 1;
+        let ticket = Ticket(self.last);
+        let rank = Rank {
+            repeat: offer.repeat,
+            worth: Reverse(offer.worth.max(0.0).to_bits()),
+            deadline: offer.deadline,
+            ticket,
+        };
+        if self.waiting.len() >= self.set.queue as usize {
+            match self.displaced(&offer.tenant, rank) {
+                Some(loser) => moves.refused.push((loser, Why::Full)),
+                None => return (Verdict::Refused(Why::Full), moves),
+            }
+        }
+        let member = self.members.entry(offer.tenant.clone()).or_default();
+        member.queue.insert(rank, offer.needs);
+        self.waiting.insert(ticket, (offer.tenant, rank));
+        (Verdict::Wait(ticket), moves)
+    }
+
+    /// Whose load is largest for its share, of those with somebody waiting.
+    fn heaviest(&self) -> Option<Rc<str>> {
+        let waiting = self.members.iter().filter(|(_, member)| !member.queue.is_empty());
+        let weight = |name: &str, member: &Member| f64::from(member.load()) / self.share(name);
+        let heaviest = waiting.max_by(|a, b| weight(a.0, a.1).total_cmp(&weight(b.0, b.1)));
+        heaviest.map(|(name, _)| name.clone())
+    }
+
+    /// Makes room for one that comes before another; the loser.
+    fn displaced(&mut self, tenant: &Rc<str>, rank: Rank) -> Option<Ticket> {
+        let heaviest = self.heaviest()?;
+        if heaviest != *tenant {
+            let load = |name: &str| self.members.get(name).map_or(0, Member::load);
+            let ours = f64::from(load(tenant) + 1) / self.share(tenant);
+            if ours <= f64::from(load(&heaviest)) / self.share(&heaviest) {
+                return self.pop_last(&heaviest);
+            }
+        }
+        let own = self.members.get(tenant)?.queue.last_key_value()?.0;
+        (rank < *own).then(|| self.pop_last(tenant)).flatten()
+    }
+
+    fn pop_last(&mut self, tenant: &Rc<str>) -> Option<Ticket> {
+        let (rank, _) = self.members.get_mut(tenant)?.queue.pop_last()?;
+        self.waiting.remove(&rank.ticket);
+        Some(rank.ticket)
+    }
+
+    fn enter(&mut self, tenant: &Rc<str>) {
+        self.held += 1;
+        self.members.entry(tenant.clone()).or_default().held += 1;
+    }
+
+    /// One that went is over.
+    pub fn done(&mut self, now: Nanos, tenant: &Rc<str>) -> Moves {
+        if let Some(member) = self.members.get_mut(tenant).filter(|member| member.held > 0) {
+            member.held -= 1;
+            self.held -= 1;
+        }
+        let mut moves = Moves::default();
+        self.grant(now, &mut moves);
+        self.members.retain(|_, member| Self::is_active(member, now));
+        moves
+    }
+
+    /// One that waits does so no longer, by itself.
+    pub fn leave(&mut self, ticket: Ticket) {
+        if let Some((tenant, rank)) = self.waiting.remove(&ticket) {
+            if let Some(member) = self.members.get_mut(&tenant) {
+                member.queue.remove(&rank);
+            }
+        }
+    }
+
+    /// Lets those go whose turn it is.
+    fn grant(&mut self, now: Nanos, moves: &mut Moves) {
+        while self.held < self.set.most && !self.waiting.is_empty() {
+            let able = self.members.iter().filter(|(_, member)| !member.queue.is_empty());
+            let able = able.filter(|(name, _)| self.may_go(now, name));
+            let weight = |name: &str, m: &Member| f64::from(m.held + 1) / self.share(name);
+            let next = able.min_by(|a, b| weight(a.0, a.1).total_cmp(&weight(b.0, b.1)));
+            let Some(tenant) = next.map(|(name, _)| name.clone()) else { return };
+            let member = self.members.get_mut(&tenant);
+            let Some((rank, needs)) = member.and_then(|m| m.queue.pop_first()) else { return };
+            self.waiting.remove(&rank.ticket);
+            if now.saturating_add(needs) >= rank.deadline {
+                moves.refused.push((rank.ticket, Why::TooLate));
+            } else {
+                self.enter(&tenant);
+                moves.go.push(rank.ticket);
+            }
+        }
+    }
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -6,6 +6,10 @@
 //! the second line: what this package lets through it still judges.
 #![forbid(unsafe_code)]
 
+pub mod admission;
 pub mod answers;
+pub mod gate;
+pub mod rate;
 pub mod schedule;
+pub mod tenants;
 pub mod tries;
--- a/crates/mintshelf/src/admin.rs
+++ b/crates/mintshelf/src/admin.rs
@@ -103,6 +103,16 @@
         gauges("recovery_phase", help, "cluster", of(3));
         let help = "Clients that were told when to come back, and whose time is ahead";
         gauges("expected_back", help, "cluster", of(4));
+        let levels = daemon.gates.levels();
+        let tenants =
+            levels.tenants.into_iter().map(|(name, held)| (name, i64::from(held))).collect();
+        gauges("tenant_requests", "Requests under way, by tenant", "tenant", tenants);
+        let of = |which: usize| {
+            let clusters = levels.clusters.iter();
+            clusters.map(|(name, levels)| (name.clone(), levels[which] as i64)).collect()
+        };
+        gauges("gate_requests", "Requests that have a place at a cluster", "cluster", of(0));
+        gauges("gate_waiting", "Requests that wait for a place", "cluster", of(1));
         let clients: Gauge = Gauge::default();
         clients.set(daemon.clients.len() as i64);
         registry.register("clients", "Connections of clients", clients);
--- a/crates/mintshelf/src/daemon.rs
+++ b/crates/mintshelf/src/daemon.rs
@@ -3,14 +3,16 @@
 use crate::admin::Admin;
 use crate::check;
 use mintshelf_balancer::api::ListedServer;
+use mintshelf_config::admission::{admission, tenants};
 use mintshelf_config::model::{self, File, Route, Then};
 use mintshelf_config::module::{module, Module};
 use mintshelf_config::platform::Names;
 use mintshelf_proxy::clients::{Clients, Patience};
 use mintshelf_proxy::driver::{Driver, Spec};
+use mintshelf_proxy::gates::Gates;
 use mintshelf_proxy::inbound::{listen, Front, Inbound};
 use mintshelf_proxy::limits::Limits;
-use mintshelf_proxy::plain::{Counts, Plain, Pool, Serving};
+use mintshelf_proxy::plain::{Counts, Limited, Plain, Pool, Serving};
 use mintshelf_proxy::upstream::{Connections, Style};
 use mintshelf_recovery::Phase;
 use mintshelf_routing::Table;
@@ -62,6 +64,8 @@
     path: PathBuf,
     state: RefCell<State>,
     limits: Limits,
+    /// Limits of tenants, routes and clusters, with what counts against them.
+    pub gates: Rc<Gates>,
     connections: Rc<Connections>,
     patience: Patience,
     /// What the first file said of what can't change while the program runs.
@@ -94,6 +98,7 @@
             state: RefCell::default(),
             connections: Connections::new(&limits),
             limits,
+            gates: Rc::default(),
             patience: Patience {
                 receive: file.limits.head_timeout,
                 idle: file.limits.idle_timeout,
@@ -171,9 +176,22 @@
                 });
             }
         }
+        let set = admission(&file);
+        self.gates.set(&set);
+        let limits = (!set.is_empty()).then(|| (set, tenants(&file).map(Rc::new)));
         for (listener, routes, table) in tables {
+            let limited = limits.as_ref().map(|(_, tenants)| Limited {
+                gates: self.gates.clone(),
+                tenants: tenants.clone(),
+                tenant_header: file.tenant_header.clone(),
+                routes: routes.iter().map(|route| Rc::from(route.name.as_str())).collect(),
+                clusters: clusters.keys().map(|n| (n.clone(), Rc::from(n.as_str()))).collect(),
+            });
             let serving = Rc::new(Serving {
                 table,
+                listener: listener.name.clone(),
+                limited,
+                repeat_header: file.repeat_header.clone(),
                 hits: routes.iter().map(|_| Cell::new(0)).collect(),
                 routes,
                 clusters: clusters.clone(),
@@ -246,6 +264,7 @@
             discovery: None,
             return_ramp: Some(module.return_ramp),
             tries: module.tries.clone(),
+            connections: module.connections,
         };
         let driver = Driver::start(spec, self.connections.clone());
         driver.list(module.servers.clone());
--- a/crates/mintshelf/src/platform.rs
+++ b/crates/mintshelf/src/platform.rs
@@ -54,6 +54,7 @@
     let spec = Spec {
         return_ramp: None,
         tries: Vec::new(),
+        connections: [None; 2],
         settings: settings.clone(),
         names: names.clone(),
         seed,
--- /dev/null
+++ b/crates/mintshelf/tests/limits.rs
@@ -0,0 +1,261 @@
+//! Limits of tenants, routes, clusters and endpoints over real sockets.
+
+use mintshelf_testkit::*;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_mintshelf");
+
+/// Answers are held back while it is shut.
+#[derive(Default)]
+struct Lock(Mutex<bool>, Condvar);
+
+impl Lock {
+    fn shut(&self, shut: bool) {
+        *self.0.lock().unwrap() = shut;
+        self.1.notify_all();
+    }
+
+    fn pass(&self) {
+        let held = self.0.lock().unwrap();
+        drop(self.1.wait_while(held, |shut| *shut).unwrap());
+    }
+}
+
+fn server(lock: &Arc<Lock>) -> Server {
+    let lock = lock.clone();
+    Server::start(move |_, _| {
+        lock.pass();
+        Some(answer("good"))
+    })
+}
+
+fn file(
+    at: SocketAddr,
+    admin: SocketAddr,
+    servers: &[SocketAddr],
+    more: &str,
+    cluster: &str,
+) -> String {
+    let servers: Vec<String> = servers.iter().map(|at| format!("\"{at}\"")).collect();
+    format!(
+        "listen = \"{at}\"\n{more}\n[admin]\naddress = \"{admin}\"\n\
+         [classes.cheap]\nworth = 1\n[classes.dear]\nworth = 5\n\
+         [clusters.c]\nendpoints = [{}]\n{cluster}\n\
+         [[routes]]\nname = \"dear\"\nprefix = \"/dear\"\nclass = \"dear\"\ncluster = \"c\"\n\
+         [[routes]]\nname = \"cheap\"\nclass = \"cheap\"\ncluster = \"c\"\n",
+        servers.join(", ")
+    )
+}
+
+fn daemon(servers: &[SocketAddr], more: &str, cluster: &str) -> (Daemon, SocketAddr) {
+    let (at, admin) = (free_address(), free_address());
+    (Daemon::start(PROGRAM, at, &file(at, admin, servers, more, cluster), &[]), admin)
+}
+
+fn figure(admin: SocketAddr, name: &str) -> f64 {
+    let got = ask(admin, &get("/-/metrics")).unwrap();
+    let text = String::from_utf8_lossy(&got.body).into_owned();
+    let lines = text.lines().filter(|line| line.starts_with(name));
+    lines.map(|line| line.rsplit(' ').next().unwrap().parse::<f64>().unwrap()).sum()
+}
+
+fn code(got: &Message) -> String {
+    let text = String::from_utf8_lossy(&got.body).into_owned();
+    let code = text.split("\"code\":\"").nth(1).and_then(|rest| rest.split('"').next());
+    code.unwrap_or("").to_string()
+}
+
+fn of(tenant: &str, path: &str) -> Vec<u8> {
+    format!("GET {path} HTTP/1.1\r\nHost: h\r\nX-Member: {tenant}\r\n\r\n").into_bytes()
+}
+
+const TENANTS: &str = "tenant-header = \"x-member\"\nrepeat-header = \"x-retry\"\n\
+    [limits]\nsockets = 256\n\
+    [tenants.a]\nheader-values = [\"a\"]\nrate = \"1/m\"\nburst = 20\n\
+    [tenants.b]\nheader-values = [\"b\"]\n[tenants.n]\nnetworks = [\"192.0.2.0/24\"]";
+
+#[test]
+fn a_tenant_over_its_rate_is_told_so_and_the_others_are_served() {
+    let server = server(&Arc::default());
+    let (daemon, admin) = daemon(&[server.at], TENANTS, "");
+    let greedy: Vec<Message> = (0..200).map(|_| daemon.ask(&of("a", "/")).unwrap()).collect();
+    let calm: Vec<Message> = (0..200).map(|_| daemon.ask(&of("b", "/")).unwrap()).collect();
+    assert!(calm.iter().all(|got| got.status() == 200));
+    let over: Vec<_> = greedy.iter().filter(|got| got.status() == 429).collect();
+    let served = greedy.iter().filter(|got| got.status() == 200).count();
+    // Its burst, and one more for every minute that this takes.
+    assert!((20..25).contains(&served) && served + over.len() == 200, "{served}");
+    for got in over {
+        assert_eq!(code(got), "tenant-rate");
+        let told: u64 = got.header("retry-after").unwrap().parse().unwrap();
+        assert!((1..=60).contains(&told), "{}", got.head);
+    }
+    assert_eq!(server.seen().len(), 200 + served, "what is refused is not sent on");
+    assert_eq!(figure(admin, "mintshelf_tenant_requests"), 0.0);
+}
+
+#[test]
+fn a_header_does_not_take_a_client_out_of_its_network() {
+    let server = server(&Arc::default());
+    let more = TENANTS.replace("192.0.2.0/24", "127.0.0.0/8") + "\nrate = \"1/m\"\nburst = 5";
+    let (daemon, _) = daemon(&[server.at], &more, "");
+    let statuses: Vec<u16> =
+        (0..20).map(|n| daemon.ask(&of(["b", "c"][n % 2], "/")).unwrap().status()).collect();
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    assert!((5..8).contains(&served), "{statuses:?}");
+}
+
+#[test]
+fn slow_uploads_of_one_tenant_leave_the_others_their_room() {
+    let server = server(&Arc::default());
+    let (daemon, admin) = daemon(&[server.at], TENANTS, "");
+    let mut uploads = Vec::new();
+    let mut refused = 0;
+    for _ in 0..60 {
+        let mut stream = connect(daemon.at).unwrap();
+        let head = "POST /up HTTP/1.1\r\nHost: h\r\nX-Member: b\r\nContent-Length: 60000\r\n\r\nxx";
+        stream.write_all(head.as_bytes()).unwrap();
+        uploads.push(stream);
+        // One after the other, so that the last are over the bound for sure.
+        wait_until("it is counted or refused", || {
+            figure(admin, "mintshelf_tenant_requests{tenant=\"b\"}")
+                + figure(admin, "mintshelf_refusals_total")
+                >= uploads.len() as f64
+        });
+    }
+    refused += figure(admin, "mintshelf_refusals_total") as usize;
+    let held = figure(admin, "mintshelf_tenant_requests{tenant=\"b\"}") as usize;
+    assert!(refused >= 20 && held >= 10 && held + refused == 60, "{held} {refused}");
+    let got = Message::read(uploads.last_mut().unwrap()).unwrap();
+    assert_eq!(got.status(), 429, "{}", got.head);
+    assert!(got.header("retry-after").is_some());
+    for _ in 0..50 {
+        let post = "POST /up HTTP/1.1\r\nHost: h\r\nX-Member: c\r\nContent-Length: 2\r\n\r\nxx";
+        assert_eq!(daemon.ask(post.as_bytes()).unwrap().status(), 200);
+    }
+    drop(uploads);
+    wait_until("all is given back", || figure(admin, "mintshelf_tenant_requests") == 0.0);
+    assert_eq!(daemon.ask(&of("b", "/")).unwrap().status(), 200);
+}
+
+#[test]
+fn a_full_queue_refuses_the_least_worth_at_once_and_serves_the_rest() {
+    let lock: Arc<Lock> = Arc::default();
+    let server = server(&lock);
+    let (daemon, admin) = daemon(&[server.at], "", "concurrency = 2\nqueue = 2");
+    let at = daemon.at;
+    let send = |path: &'static str| thread::spawn(move || ask(at, &get(path)).unwrap());
+    let levels = |inside: f64, waiting: f64| {
+        wait_until("the gate stands so", || {
+            figure(admin, "mintshelf_gate_requests") == inside
+                && figure(admin, "mintshelf_gate_waiting") == waiting
+        });
+    };
+    lock.shut(true);
+    let inside = [send("/1"), send("/2")];
+    levels(2.0, 0.0);
+    let cheap = [send("/3"), send("/4")];
+    levels(2.0, 2.0);
+    // They came first, and are worth less.
+    let dear = [send("/dear/1"), send("/dear/2")];
+    for got in cheap.map(|one| one.join().unwrap()) {
+        assert_eq!((got.status(), code(&got).as_str()), (503, "queue-full"));
+        assert!(got.header("retry-after").is_some());
+    }
+    // One more of them is the least itself.
+    assert_eq!(code(&ask(at, &get("/5")).unwrap()), "queue-full");
+    // Who leaves the queue leaves no trace.
+    let mut gone = connect(at).unwrap();
+    gone.write_all(&get("/dear/3")).unwrap();
+    drop(gone);
+    levels(2.0, 2.0);
+    lock.shut(false);
+    for got in inside.into_iter().chain(dear).map(|one| one.join().unwrap()) {
+        assert_eq!(got.status(), 200);
+    }
+    levels(0.0, 0.0);
+    assert_eq!(ask(at, &get("/6")).unwrap().status(), 200);
+}
+
+#[test]
+fn who_leaves_the_queue_frees_its_place() {
+    let lock: Arc<Lock> = Arc::default();
+    let server = server(&lock);
+    let (daemon, admin) = daemon(&[server.at], "", "concurrency = 1\nqueue = 1");
+    lock.shut(true);
+    let at = daemon.at;
+    let first = thread::spawn(move || ask(at, &get("/1")).unwrap());
+    wait_until("one is in", || figure(admin, "mintshelf_gate_requests") == 1.0);
+    let mut gone = connect(at).unwrap();
+    gone.write_all(&get("/2")).unwrap();
+    wait_until("one waits", || figure(admin, "mintshelf_gate_waiting") == 1.0);
+    // A reset, as of a client that has died.
+    socket_reset(gone);
+    wait_until("none waits", || figure(admin, "mintshelf_gate_waiting") == 0.0);
+    lock.shut(false);
+    assert_eq!(first.join().unwrap().status(), 200);
+    assert_eq!(server.seen().len(), 1, "it never went on");
+}
+
+#[test]
+fn limits_that_change_under_load_lose_nothing_and_count_once() {
+    let server = server(&Arc::default());
+    let (daemon, admin) = daemon(&[server.at], TENANTS, "concurrency = 4\nqueue = 1000");
+    let (over, done) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+    let at = daemon.at;
+    let clients: Vec<_> = (0..16)
+        .map(|n| {
+            let (over, done) = (over.clone(), done.clone());
+            thread::spawn(move || {
+                let mut statuses = Vec::new();
+                let mut stream = connect(at).unwrap();
+                while !over.load(Ordering::SeqCst) {
+                    stream.write_all(&of(["b", "c"][n % 2], "/")).unwrap();
+                    statuses.push(Message::read(&mut stream).expect("an answer").status());
+                    done.fetch_add(1, Ordering::SeqCst);
+                }
+                statuses
+            })
+        })
+        .collect();
+    for n in 0..20 {
+        let before = done.load(Ordering::SeqCst);
+        wait_until("some are served", || done.load(Ordering::SeqCst) >= before + 50);
+        let cluster = ["concurrency = 2\nqueue = 1000", "", "concurrency = 9\nqueue = 1000"][n % 3];
+        let tenants = [TENANTS, "[limits]\nsockets = 256"][n % 2];
+        daemon.reload(&file(at, admin, &[server.at], tenants, cluster));
+        assert!(figure(admin, "mintshelf_gate_requests") <= 16.0);
+    }
+    daemon.reload(&file(at, admin, &[server.at], TENANTS, "concurrency = 4\nqueue = 1000"));
+    over.store(true, Ordering::SeqCst);
+    let statuses: Vec<u16> = clients.into_iter().flat_map(|c| c.join().unwrap()).collect();
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    assert_eq!(server.seen().len(), statuses.len(), "each went once");
+    for name in ["mintshelf_gate_requests", "mintshelf_gate_waiting", "mintshelf_tenant_requests"] {
+        wait_until("nothing is left", || figure(admin, name) == 0.0);
+    }
+}
+
+#[test]
+fn an_endpoint_gets_no_more_connections_than_it_may() {
+    let lock: Arc<Lock> = Arc::default();
+    let servers = [server(&lock), server(&lock)];
+    let at = servers.each_ref().map(|server| server.at);
+    let (daemon, _) = daemon(&at, "", "endpoint-connections = 3");
+    lock.shut(true);
+    let at = daemon.at;
+    let clients: Vec<_> =
+        (0..20).map(|_| thread::spawn(move || ask(at, &get("/")).unwrap())).collect();
+    wait_until("all places are taken", || servers.iter().all(|s| s.seen().len() == 3));
+    // The rest is refused while they wait.
+    wait_until("the rest is refused", || clients.iter().filter(|c| c.is_finished()).count() == 14);
+    lock.shut(false);
+    let statuses: Vec<u16> = clients.into_iter().map(|c| c.join().unwrap().status()).collect();
+    assert_eq!(statuses.iter().filter(|s| **s == 200).count(), 6, "{statuses:?}");
+    assert!(statuses.iter().all(|s| [200, 503].contains(s)));
+    assert!(servers.iter().all(|s| *s.connections.lock().unwrap() == 3));
+}
--- a/crates/mintshelf/tests/tries.rs
+++ b/crates/mintshelf/tests/tries.rs
@@ -150,7 +150,7 @@
                 return;
             }
             n if n % 37 == 13 => stream.write_all(b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n"),
-            n if n == 111 => {
+            111 => {
                 // Silent until the other side gives up.
                 let _ = read_to_close(&mut stream);
                 return;
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -161,12 +161,15 @@
     pub return_ramp: Option<Nanos>,
     /// What the attempts of each class may do; empty where the platform says all of that.
     pub tries: Vec<TryPlan>,
+    /// Most connections to all servers, and to each.
+    pub connections: [Option<u32>; 2],
 }
 
 impl Driver {
     /// Starts an instance of the decision module.
-    pub fn start(spec: Spec, connections: Rc<Connections>) -> Rc<Self> {
-        let Spec { settings, names, seed, style, peers, discovery, return_ramp, tries } = spec;
+    pub fn start(spec: Spec, all: Rc<Connections>) -> Rc<Self> {
+        let Spec { settings, names, seed, style, peers, discovery, .. } = spec;
+        let Spec { return_ramp, tries, connections, .. } = spec;
         let clock = Clock::start();
         let connect_timeout = Duration::from_nanos(settings.connect_timeout);
         let idle_timeout = Duration::from_nanos(settings.idle_timeout);
@@ -193,7 +196,7 @@
             endpoints,
             discovery: discovery.clone(),
             clock,
-            upstream: Upstream::new(connections, connect_timeout, idle_timeout, style.clone()),
+            upstream: Upstream::new(all, connect_timeout, idle_timeout, style.clone(), connections),
             style,
             probing: Probing {
                 fields: if mode == ReportMode::Absent { Vec::new() } else { fields.clone() },
@@ -361,7 +364,7 @@
         };
         let class = arrival.class;
         if !recovery.borrow_mut().pace.admit(now) {
-            return Some(Reply::Paced(self.come_back(class, None).unwrap_or(0)));
+            return Some(Reply::Paced(self.advice(class)));
         }
         let reply = self.attend(now, arrival, message).await?;
         Some(match reply {
@@ -518,6 +521,17 @@
         }
     }
 
+    /// What half of the answers of a class take; 0 while that is not known.
+    pub fn usual(&self, class: u32) -> Nanos {
+        let now = self.clock.now();
+        self.tries.get(class as usize).map_or(0, |tries| tries.borrow_mut().usual(now))
+    }
+
+    /// When a client whose request has not been sent is told to come back.
+    pub fn advice(&self, class: u32) -> Nanos {
+        self.come_back(class, None).unwrap_or(0)
+    }
+
     /// Attempts that were ended for their own time, and second copies, so far.
     pub fn tried(&self) -> [u64; 2] {
         self.tries.iter().fold([0; 2], |[cut, copied], tries| {
--- /dev/null
+++ b/crates/proxy/src/gates.rs
@@ -0,0 +1,227 @@
+//! Where requests pass the limits of tenants, routes and clusters: what those decide, done.
+
+use crate::clock::Clock;
+use crate::refusal::Refusal;
+use hyper::StatusCode;
+use mintshelf_balancer::api::Nanos;
+use mintshelf_limits::admission::{Admission, AdmissionSet, Levels, Over};
+use mintshelf_limits::gate::{Moves, Offer, Ticket, Verdict, Why};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::future::poll_fn;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+use tokio::time::timeout_at;
+
+const SECOND: Nanos = 1_000_000_000;
+
+type Key = (Rc<str>, Ticket);
+
+/// One that waits at a cluster.
+#[derive(Default)]
+struct Waiter {
+    /// What became of it.
+    end: Option<Result<(), Why>>,
+    waker: Option<Waker>,
+}
+
+/// All limits in force, and those that wait.
+pub struct Gates {
+    admission: RefCell<Admission>,
+    waiters: RefCell<HashMap<Key, Waiter>>,
+    clock: Clock,
+}
+
+impl Default for Gates {
+    fn default() -> Self {
+        Gates { admission: RefCell::default(), waiters: RefCell::default(), clock: Clock::start() }
+    }
+}
+
+/// A request that counts against its tenant and its route until this is dropped.
+pub struct Entered {
+    gates: Rc<Gates>,
+    /// Whose it is.
+    pub tenant: Rc<str>,
+    route: Rc<str>,
+}
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        self.gates.admission.borrow_mut().leave(&self.tenant, &self.route);
+    }
+}
+
+/// A request that has a place at its cluster until this is dropped.
+pub struct Through {
+    gates: Rc<Gates>,
+    cluster: Rc<str>,
+    tenant: Rc<str>,
+}
+
+impl Drop for Through {
+    fn drop(&mut self) {
+        let now = self.gates.clock.now();
+        let moves = self.gates.admission.borrow_mut().done(now, &self.cluster, &self.tenant);
+        self.gates.carry(&self.cluster, moves);
+    }
+}
+
+/// Bytes of a body that count against its tenant until this is dropped.
+pub struct Filled {
+    gates: Rc<Gates>,
+    tenant: Rc<str>,
+    bytes: u64,
+}
+
+impl Drop for Filled {
+    fn drop(&mut self) {
+        self.gates.admission.borrow_mut().empty(&self.tenant, self.bytes);
+    }
+}
+
+/// A wait at a cluster; dropped before its end it gives up the place, or what came of it.
+struct Waiting<'a> {
+    gates: &'a Rc<Gates>,
+    key: Key,
+    tenant: Rc<str>,
+}
+
+impl Waiting<'_> {
+    async fn end(&self) -> Result<(), Why> {
+        poll_fn(|cx| {
+            let mut waiters = self.gates.waiters.borrow_mut();
+            let waiter = waiters.entry(self.key.clone()).or_default();
+            if let Some(end) = waiter.end.take() {
+                waiters.remove(&self.key);
+                return Poll::Ready(end);
+            }
+            waiter.waker = Some(cx.waker().clone());
+            Poll::Pending
+        })
+        .await
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let waiter = self.gates.waiters.borrow_mut().remove(&self.key);
+        match waiter.map(|waiter| waiter.end) {
+            // Nobody took the place that it was given.
+            Some(Some(Ok(()))) => drop(self.gates.through(&self.key.0, &self.tenant)),
+            Some(None) => self.gates.admission.borrow_mut().give_up(&self.key.0, self.key.1),
+            Some(Some(Err(_))) | None => {}
+        }
+    }
+}
+
+impl Gates {
+    /// Puts limits in force; what is under way counts on.
+    pub fn set(&self, set: &AdmissionSet) {
+        let moves = self.admission.borrow_mut().set(self.clock.now(), set);
+        moves.into_iter().for_each(|(cluster, moves)| self.carry(&cluster, moves));
+    }
+
+    /// Tells those that wait what became of them.
+    fn carry(&self, cluster: &Rc<str>, moves: Moves) {
+        let go = moves.go.into_iter().map(|ticket| (ticket, Ok(())));
+        let refused = moves.refused.into_iter().map(|(ticket, why)| (ticket, Err(why)));
+        for (ticket, end) in go.chain(refused) {
+            let mut waiters = self.waiters.borrow_mut();
+            let waiter = waiters.entry((cluster.clone(), ticket)).or_default();
+            waiter.end = Some(end);
+            if let Some(waker) = waiter.waker.take() {
+                waker.wake();
+            }
+        }
+    }
+
+    fn through(self: &Rc<Self>, cluster: &Rc<str>, tenant: &Rc<str>) -> Through {
+        Through { gates: self.clone(), cluster: cluster.clone(), tenant: tenant.clone() }
+    }
+
+    /// A request has come; its body has not.
+    pub fn enter(self: &Rc<Self>, tenant: Rc<str>, route: &Rc<str>) -> Result<Entered, Refusal> {
+        let now = self.clock.now();
+        match self.admission.borrow_mut().enter(now, &tenant, route) {
+            Ok(()) => Ok(Entered { gates: self.clone(), tenant, route: route.clone() }),
+            Err(over) => {
+                let (code, what, after) = match over {
+                    Over::TenantRate(after) => {
+                        ("tenant-rate", "its tenant asks more than its rate; it has not run", after)
+                    }
+                    Over::TenantConcurrency => (
+                        "tenant-concurrency",
+                        "its tenant has as many under way as it may; it has not run",
+                        SECOND,
+                    ),
+                    Over::RouteRate(after) => (
+                        "route-rate",
+                        "the route is asked more than its rate; it has not run",
+                        after,
+                    ),
+                    Over::RouteConcurrency => (
+                        "route-concurrency",
+                        "the route has as many under way as it may; it has not run",
+                        SECOND,
+                    ),
+                };
+                Err(Refusal::new(StatusCode::TOO_MANY_REQUESTS, code, what).after(after))
+            }
+        }
+    }
+
+    /// Takes so many bytes for a tenant's body.
+    pub fn fill(self: &Rc<Self>, tenant: &Rc<str>, bytes: u64) -> Result<Filled, Refusal> {
+        if self.admission.borrow_mut().fill(tenant, bytes) {
+            return Ok(Filled { gates: self.clone(), tenant: tenant.clone(), bytes });
+        }
+        let what = "its tenant's bodies take all the room that it has; it has not run";
+        let refusal = Refusal::new(StatusCode::TOO_MANY_REQUESTS, "tenant-room", what);
+        // The body is not read, so nothing can come behind it.
+        Err(refusal.after(SECOND).last())
+    }
+
+    /// Waits for a place at a cluster: until there is one, or it is refused, which is at once
+    /// when it can't be answered in time any more. None where the cluster has no limit.
+    /// `advice` tells when to come back.
+    pub async fn pass(
+        self: &Rc<Self>,
+        cluster: &Rc<str>,
+        patience: Nanos,
+        offer: Offer,
+        advice: impl Fn() -> Nanos,
+    ) -> Result<Option<Through>, Refusal> {
+        let now = self.clock.now();
+        let (tenant, needs) = (offer.tenant.clone(), offer.needs);
+        let offer = Offer { deadline: now.saturating_add(patience), ..offer };
+        let offered = self.admission.borrow_mut().offer(now, cluster, offer);
+        let Some((verdict, moves)) = offered else { return Ok(None) };
+        self.carry(cluster, moves);
+        let end = match verdict {
+            Verdict::Go => Ok(()),
+            Verdict::Refused(why) => Err(why),
+            Verdict::Wait(ticket) => {
+                let key = (cluster.clone(), ticket);
+                self.waiters.borrow_mut().insert(key.clone(), Waiter::default());
+                let waiting = Waiting { gates: self, key, tenant: tenant.clone() };
+                let until = self.clock.instant(now.saturating_add(patience.saturating_sub(needs)));
+                timeout_at(until, waiting.end()).await.unwrap_or(Err(Why::TooLate))
+            }
+        };
+        end.map(|()| Some(self.through(cluster, &tenant))).map_err(|why| {
+            let (code, what) = match why {
+                Why::Full => ("queue-full", "too many wait for the cluster; it has not run"),
+                Why::TooLate => {
+                    ("queue-late", "it waited too long to be answered in time; it has not run")
+                }
+            };
+            Refusal::new(StatusCode::SERVICE_UNAVAILABLE, code, what).after(advice().max(SECOND))
+        })
+    }
+
+    /// How much is under way.
+    pub fn levels(&self) -> Levels {
+        self.admission.borrow().levels()
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod discovery;
 pub mod driver;
 pub mod endpoints;
+pub mod gates;
 pub mod inbound;
 pub mod limits;
 pub mod message;
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -1,6 +1,7 @@
 //! Budgets: descriptors and the bytes of bodies held.
 
 use crate::message::BODY_MAX;
+use mintshelf_config::model::BODY_SHARE;
 use std::sync::Arc;
 use tokio::sync::Semaphore;
 
@@ -11,10 +12,6 @@
 /// Part of the rest that is kept for connections to servers. A client being
 /// served holds one of each; most clients are idle.
 const UPSTREAM_SHARE: f64 = 0.4;
-/// Part of the memory limit that the bodies of requests may fill. The rest is for
-/// the libraries' buffers (32 KiB each way a connection at most) and for answers.
-const BODY_SHARE: f64 = 0.3;
-
 /// What the process may hold at one time.
 #[derive(Debug)]
 pub struct Limits {
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -3,6 +3,7 @@
 use crate::body::{Outbound, Upload};
 use crate::clients::{Client, Phase};
 use crate::driver::{Arrival, Driver, Message, Reply};
+use crate::gates::Gates;
 use crate::inbound::{Front, FrontBody};
 use crate::message::{strip_for_next_hop, Held, BODY_MAX};
 use crate::refusal::Refusal;
@@ -14,6 +15,8 @@
 use mintshelf_balancer::api::Effect;
 use mintshelf_config::model::{Edits, Forward, Forwarding, Redirect, Respond, Route, Sticky, Then};
 use mintshelf_config::module::{severity, ModuleClass};
+use mintshelf_limits::gate::Offer;
+use mintshelf_limits::tenants::{Tenants, OTHERS};
 use mintshelf_routing::{pattern, Probe, Table};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -44,6 +47,35 @@
     pub clusters: HashMap<String, Rc<Pool>>,
     /// What is told of this hop.
     pub forwarding: Forwarding,
+    /// The listener's name.
+    pub listener: String,
+    /// Limits of tenants, routes and clusters; absent where there are none.
+    pub limited: Option<Limited>,
+    /// The header that marks a repeat.
+    pub repeat_header: Option<HeaderName>,
+}
+
+/// Limits, and whose requests are.
+pub struct Limited {
+    /// The limits.
+    pub gates: Rc<Gates>,
+    /// Tells tenants apart; absent where there are none.
+    pub tenants: Option<Rc<Tenants>>,
+    /// The header that names a tenant.
+    pub tenant_header: Option<HeaderName>,
+    /// The routes' names, in their order.
+    pub routes: Vec<Rc<str>>,
+    /// The clusters' names.
+    pub clusters: HashMap<String, Rc<str>>,
+}
+
+impl Limited {
+    /// Whose a request is.
+    fn tenant(&self, client: &Client, listener: &str, headers: &HeaderMap) -> Rc<str> {
+        let Some(tenants) = &self.tenants else { return OTHERS.into() };
+        let value = self.tenant_header.as_ref().and_then(|name| headers.get(name));
+        tenants.of(client.peer.ip(), listener, value.and_then(|value| value.to_str().ok()))
+    }
 }
 
 impl Serving {
@@ -180,7 +212,7 @@
         match &route.then {
             Then::Forward(forward) => {
                 let key = key.unwrap_or_else(|| self.next_number().to_le_bytes().to_vec());
-                let to = Way { serving, route, forward, key, host, path };
+                let to = Way { serving, place, route, forward, key, host, path };
                 self.forward(to, client, request).await
             }
             Then::Redirect(redirect) => redirected(redirect, route, &host, &path),
@@ -194,8 +226,9 @@
         client: &Client,
         request: Request<Incoming>,
     ) -> Result<Response<FrontBody>, Refusal> {
-        let Way { serving, route, forward, key, host, path } = way;
-        let pool = serving.clusters.get(forward.split.pick(&key));
+        let Way { serving, place, route, forward, key, host, path } = way;
+        let name = forward.split.pick(&key);
+        let pool = serving.clusters.get(name);
         let gone = || {
             let what = "the route's cluster is not there";
             Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no-cluster", what)
@@ -205,7 +238,18 @@
         let keyed = request.headers().contains_key("idempotency-key");
         let effect = effect_of(class.effect, route.effect, request.method(), keyed);
         let (number, patience) = (class.numbers[severity(effect)], class.deadline);
-        let class = number.ok_or_else(gone)?;
+        let (class, worth) = (number.ok_or_else(gone)?, class.worth);
+        let marked = serving.repeat_header.as_ref().and_then(|name| request.headers().get(name));
+        let repeat = marked.is_some_and(|value| value != "0");
+        // The stages of a request's way: its tenant and route, its body, its cluster, then the
+        // decision module.
+        let entered = match &serving.limited {
+            Some(limited) => {
+                let tenant = limited.tenant(client, &serving.listener, request.headers());
+                Some(limited.gates.enter(tenant, &limited.routes[place])?)
+            }
+            None => None,
+        };
         let (mut head, body) = request.into_parts();
         strip_for_next_hop(&mut head.headers);
         self.mark(&serving.forwarding, &mut head.headers, client, &host);
@@ -218,14 +262,49 @@
             let host = HeaderValue::from_str(&host).map_err(|_| bad("the host is no host"))?;
             head.headers.insert(header::HOST, host);
         }
+        let filled = match serving.limited.as_ref().zip(entered.as_ref()) {
+            Some((limited, entered)) if !body.is_end_stream() => {
+                Some(limited.gates.fill(&entered.tenant, held_size(&body).1 as u64)?)
+            }
+            _ => None,
+        };
         let (body, room) = self.body(client, body).await?;
         client.enter(Phase::Busy);
-        let arrival =
-            Arrival { class, tenant: 0, key: None, cost_hint: None, repeat: false, patience };
+        let held = Instant::now();
+        let through = match serving.limited.as_ref().zip(entered.as_ref()) {
+            Some((limited, entered)) => {
+                let offer = Offer {
+                    tenant: entered.tenant.clone(),
+                    repeat,
+                    worth,
+                    deadline: 0,
+                    needs: pool.driver.usual(class),
+                };
+                let advice = || pool.driver.advice(class);
+                match limited.clusters.get(name) {
+                    Some(name) => limited.gates.pass(name, patience, offer, advice).await?,
+                    None => None,
+                }
+            }
+            None => None,
+        };
+        let waited = u64::try_from(held.elapsed().as_nanos()).unwrap_or(u64::MAX);
+        let patience = match through {
+            Some(_) => patience.saturating_sub(waited).max(1),
+            None => patience,
+        };
+        let arrival = Arrival { class, tenant: 0, key: None, cost_hint: None, repeat, patience };
         let request = Request::from_parts(head, body);
         let message = Message { request, txn: None, _room: room };
-        match pool.driver.serve(arrival, message).await {
-            Some(Reply::Served(answer)) => Ok(self.passed(serving, forward, *answer)),
+        let reply = pool.driver.serve(arrival, message).await;
+        drop(filled);
+        match reply {
+            Some(Reply::Served(mut answer)) => {
+                if let (AnswerBody::Stream(stream), Some(_)) = (&mut answer.body, &entered) {
+                    stream.keep(Box::new((through, entered)));
+                }
+                Ok(self.passed(serving, forward, *answer))
+            }
             Some(Reply::Refused { after, .. }) => {
                 let what = "no server can take it now; it has not run";
                 let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "overloaded", what);
@@ -290,8 +369,7 @@
         if body.is_end_stream() {
             return Ok((Outbound::default(), None));
         }
-        let short = body.size_hint().exact().is_some_and(|size| size <= BODY_MAX as u64);
-        let want = if short { body.size_hint().lower() as usize } else { BODY_MAX };
+        let (short, want) = held_size(&body);
         let room = self.room.clone().acquire_many_owned(want.max(1) as u32);
         let Ok(Ok(room)) = timeout(ROOM_WAIT, room).await else {
             let what = "there is no room for its body now; it has not run";
@@ -332,9 +410,16 @@
     }
 }
 
+/// Whether a body is short enough to be held whole, and how much of it is held.
+fn held_size(body: &Incoming) -> (bool, usize) {
+    let short = body.size_hint().exact().is_some_and(|size| size <= BODY_MAX as u64);
+    (short, if short { body.size_hint().lower() as usize } else { BODY_MAX })
+}
+
 /// What a request's way to a server is made of.
 struct Way<'a> {
     serving: &'a Serving,
+    place: usize,
     route: &'a Route,
     forward: &'a Forward,
     key: Vec<u8>,
@@ -511,6 +596,7 @@
             }),
             class: String::new(),
             policy: String::new(),
+            limit: Default::default(),
             effect: None,
             then: Then::Respond(Respond {
                 status: StatusCode::OK,
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use mintshelf_balancer::api::Outcome;
+use std::any::Any;
 use std::collections::VecDeque;
 use std::future::Future;
 use std::io;
@@ -31,6 +32,8 @@
     /// How the attempt ends if all comes.
     outcome: Outcome,
     on_end: Option<OnEnd>,
+    /// Given back when it is over.
+    kept: Option<Box<dyn Any>>,
 }
 
 impl ServerStream {
@@ -44,7 +47,7 @@
     ) -> Self {
         let queued_bytes = queued.iter().filter_map(Frame::data_ref).map(|d| d.len() as u64).sum();
         let stalled = Box::pin(sleep(stall));
-        let (waiting, on_end) = (false, None);
+        let (waiting, on_end, kept) = (false, None, None);
         ServerStream {
             upstream,
             queued,
@@ -55,9 +58,15 @@
             waiting,
             outcome,
             on_end,
+            kept,
         }
     }
 
+    /// Keeps something until it is over.
+    pub fn keep(&mut self, kept: Box<dyn Any>) {
+        self.kept = Some(kept);
+    }
+
     /// Calls this once, with how the attempt ended, when all has gone or it is dropped.
     pub fn on_end(&mut self, call: impl FnOnce(Outcome) + 'static) {
         self.on_end = Some(Box::new(call));
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -118,6 +118,7 @@
     rested: Instant,
     idle_max: Duration,
     _permit: OwnedSemaphorePermit,
+    _counted: Counted,
 }
 
 impl Link {
@@ -290,16 +291,64 @@
         Rc::new(Connections { idle, budget, last_pool: Cell::new(0) })
     }
 
-    /// Closes the idle connection that has rested longest.
-    fn close_oldest(&self) {
+    /// Closes the idle connection that has rested longest, of one cluster or of all.
+    fn close_oldest_of(&self, pool: Option<u32>) {
         let mut idle = self.idle.borrow_mut();
-        let oldest = idle.values_mut().filter(|links| !links.is_empty());
+        let mine = idle.iter_mut().filter(|((of, _), _)| pool.is_none_or(|pool| *of == pool));
+        let oldest = mine.map(|(_, links)| links).filter(|links| !links.is_empty());
         if let Some(links) = oldest.min_by_key(|links| links[0].rested) {
             links.pop_front();
         }
     }
 }
 
+/// Connections of one cluster, all and by server, against what it may have.
+#[derive(Debug, Default)]
+struct Count {
+    most: [Option<u32>; 2],
+    all: Cell<u32>,
+    by_server: RefCell<HashMap<ServerId, u32>>,
+}
+
+/// A connection that counts until this is dropped.
+#[derive(Debug)]
+struct Counted {
+    count: Rc<Count>,
+    server: ServerId,
+}
+
+impl Count {
+    /// Whether all connections, or those of one server, are as many as they may be.
+    fn is_full(&self, server: Option<ServerId>) -> bool {
+        let (most, open) = match server {
+            None => (self.most[0], self.all.get()),
+            Some(server) => (self.most[1], self.of(server)),
+        };
+        most.is_some_and(|most| open >= most)
+    }
+
+    fn of(&self, server: ServerId) -> u32 {
+        self.by_server.borrow().get(&server).copied().unwrap_or(0)
+    }
+
+    fn one(self: &Rc<Self>, server: ServerId) -> Counted {
+        self.all.set(self.all.get() + 1);
+        *self.by_server.borrow_mut().entry(server).or_default() += 1;
+        Counted { count: self.clone(), server }
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.count.all.set(self.count.all.get().saturating_sub(1));
+        let mut by_server = self.count.by_server.borrow_mut();
+        match by_server.get_mut(&self.server) {
+            Some(open) if *open > 1 => *open -= 1,
+            _ => drop(by_server.remove(&self.server)),
+        }
+    }
+}
+
 /// The connections to one cluster's servers.
 pub struct Upstream {
     all: Rc<Connections>,
@@ -307,6 +356,7 @@
     connect_timeout: Duration,
     idle_max: Duration,
     style: Style,
+    count: Rc<Count>,
 }
 
 impl Drop for Upstream {
@@ -316,17 +366,19 @@
 }
 
 impl Upstream {
-    /// No connections yet.
+    /// No connections yet. `most`: of all servers together, and of each.
     pub fn new(
         all: Rc<Connections>,
         connect_timeout: Duration,
         idle_timeout: Duration,
         style: Style,
+        most: [Option<u32>; 2],
     ) -> Rc<Self> {
         let pool = all.last_pool.get() + 1;
         all.last_pool.set(pool);
         let idle_max = idle_timeout.mul_f64(IDLE_SHARE);
-        Rc::new(Upstream { all, pool, connect_timeout, idle_max, style })
+        let count = Rc::new(Count { most, ..Count::default() });
+        Rc::new(Upstream { all, pool, connect_timeout, idle_max, style, count })
     }
 
     /// Closes the idle connections to a server.
@@ -370,8 +422,16 @@
     }
 
     async fn connect(&self, to: To) -> Result<Link, Outcome> {
+        if self.count.is_full(None) {
+            self.all.close_oldest_of(Some(self.pool));
+        }
+        if self.count.is_full(None) || self.count.is_full(Some(to.server)) {
+            // It has not been sent; another server may have room.
+            return Err(Outcome::Unused);
+        }
+        let counted = self.count.one(to.server);
         if self.all.budget.available_permits() == 0 {
-            self.all.close_oldest();
+            self.all.close_oldest_of(None);
         }
         // Danger: out of descriptors of its own, this side must not blame the server.
         // Nor may it wait so long that what was decided of the server is out of date.
@@ -392,7 +452,9 @@
             let driven = Some(Box::pin(driven));
             let rested = Instant::now();
             let (key, idle_max) = ((self.pool, to.server), self.idle_max);
-            Some(Link { send, driven, stream, meter, to, key, rested, idle_max, _permit: permit })
+            let _counted = counted;
+            let _permit = permit;
+            Some(Link { send, driven, stream, meter, to, key, rested, idle_max, _permit, _counted })
         };
         let up = timeout_at(until, up).await.ok().flatten();
         up.ok_or(Outcome::ConnectFailed)
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -435,6 +435,12 @@
     Some(stream)
 }
 
+/// Ends a connection by a reset, as of a program that has died with bytes unread.
+pub fn socket_reset(stream: TcpStream) {
+    let socket = socket2::Socket::from(stream);
+    socket.set_linger(Some(Duration::ZERO)).unwrap();
+}
+
 /// Waits until the other side closes or resets; what came before that.
 pub fn read_to_close(stream: &mut TcpStream) -> Vec<u8> {
     let mut bytes = Vec::new();
