--- a/crates/config/src/file/limits.rs
+++ b/crates/config/src/file/limits.rs
@@ -206,7 +206,7 @@
         for claim in listeners.chain(values) {
             let Some(other) = seen.insert(claim, &tenant.name) else { continue };
             if other != tenant.name {
-                let what = format!("'{}' is tenant '{other}''s already", claim.1);
+                let what = format!("'{}' is of tenant '{other}' already", claim.1);
                 let field = format!("tenants.{}.{}", tenant.name, claim.0);
                 let line = top.reader.span_of(&field);
                 top.reader.wrong(&line, &field, what, "give it to one of the two");
