Refuse bare line feeds in heads; answer clients that have ended their sending

A head with a bare line feed was read as two fields where a hop in front reads one.

The scan doubts every head and trailer line that does not end in CR LF. On operators' routes a half-closed client is answered; a reset still counts as gone; limits.abort-on-close = true has the old way. The platform's front is as it was.

Measured: three new tests of plain.rs, the first and third seen failing before.

--- a/crates/config/src/file/mod.rs
+++ b/crates/config/src/file/mod.rs
@@ -169,6 +169,7 @@
         head_timeout: ms(2_500),
         idle_timeout: ms(20_000),
         stream_timeout: ms(30_000),
+        abort_on_close: false,
     };
     let Some(table) = table else { return standard };
     let limits = Limits {
@@ -179,6 +180,7 @@
         stream_timeout: table
             .duration("stream-timeout", standard.stream_timeout, ms(100)..=EVER)
             .value,
+        abort_on_close: table.flag("abort-on-close", false),
     };
     table.finish();
     limits
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -268,6 +268,8 @@
     pub idle_timeout: Duration,
     /// A body that stops for so long, either way, is given up.
     pub stream_timeout: Duration,
+    /// A client that ends its sending before it has its answer counts as gone.
+    pub abort_on_close: bool,
 }
 
 /// Part of the memory limit that the bodies of requests may fill. The rest is for the
--- a/crates/mintshelf/src/daemon.rs
+++ b/crates/mintshelf/src/daemon.rs
@@ -105,6 +105,7 @@
                 // Bytes that pass give it anew, so it bounds silence and not size.
                 busy: longest.unwrap_or_default() + file.limits.stream_timeout,
                 by_progress: true,
+                half_close: !file.limits.abort_on_close,
             },
             fixed: (file.limits.clone(), file.admin),
             ending: CancellationToken::new(),
--- a/crates/mintshelf/src/platform.rs
+++ b/crates/mintshelf/src/platform.rs
@@ -68,6 +68,7 @@
         idle: IDLE_LIMIT,
         busy: longest + SEND_LIMIT,
         by_progress: false,
+        half_close: false,
     };
     let front = Platform::new(driver.clone(), settings, names, &limits);
     let clients = Rc::new(Clients::default());
--- a/crates/mintshelf/tests/plain.rs
+++ b/crates/mintshelf/tests/plain.rs
@@ -487,3 +487,62 @@
     assert!(config.contains("\"hash\":\"") && config.contains("\"flash\""), "{config}");
     drop(daemon);
 }
+
+#[test]
+fn a_client_that_ends_its_sending_gets_its_answer() {
+    let server = Server::start(|request, _| {
+        if request.path() == "/slow" {
+            std::thread::sleep(std::time::Duration::from_millis(300));
+        }
+        Some(answer("late"))
+    });
+    let daemon = daemon(&[server.at], "");
+    for path in ["/", "/slow"] {
+        let mut stream = connect(daemon.at).unwrap();
+        stream.write_all(&get(path)).unwrap();
+        stream.shutdown(std::net::Shutdown::Write).unwrap();
+        let text = String::from_utf8_lossy(&read_to_close(&mut stream)).into_owned();
+        assert!(text.starts_with("HTTP/1.1 200 ") && text.ends_with("late"), "{text}");
+    }
+    // HTTP/1.0, as the simplest of tools write it.
+    let mut stream = connect(daemon.at).unwrap();
+    stream.write_all(b"GET /slow HTTP/1.0\r\n\r\n").unwrap();
+    stream.shutdown(std::net::Shutdown::Write).unwrap();
+    assert!(String::from_utf8_lossy(&read_to_close(&mut stream)).ends_with("late"));
+}
+
+#[test]
+fn a_client_that_ends_its_sending_counts_as_gone_where_the_file_says_so() {
+    let server = Server::start(|request, _| (request.path() == "/").then(|| answer("good")));
+    let (at, admin) = (free_address(), free_address());
+    let text = file(at, &[server.at], "")
+        .replace("sockets = 128\n", "sockets = 128\nabort-on-close = true\n")
+        .replace("[clusters.c]", &format!("[admin]\naddress = \"{admin}\"\n[clusters.c]"));
+    let daemon = Daemon::start(PROGRAM, at, &text, &[]);
+    let mut stream = connect(daemon.at).unwrap();
+    stream.write_all(&get("/never")).unwrap();
+    wait_until("it is sent on", || server.seen().len() == 1);
+    stream.shutdown(std::net::Shutdown::Write).unwrap();
+    wait_until("it is given up", || {
+        let got = ask(admin, &get("/-/metrics")).unwrap();
+        String::from_utf8_lossy(&got.body).contains("mintshelf_open_requests{cluster=\"c\"} 0")
+    });
+    assert_eq!(daemon.ask(&get("/")).unwrap().status(), 200);
+}
+
+#[test]
+fn a_line_that_ends_in_a_bare_line_feed_is_refused() {
+    let server = Server::start(|_, _| Some(answer("good")));
+    let daemon = daemon(&[server.at], "");
+    for request in [
+        "POST / HTTP/1.1\r\nHost: h\r\nX: y\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "GET / HTTP/1.1\nHost: h\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: h\n\n",
+        "GET / HTTP/1.1\r\nHost: h\r\n\n",
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nT: 1\n\r\n",
+    ] {
+        let text = all(daemon.at, request);
+        assert!(text.starts_with("HTTP/1.1 400 "), "{request:?}: {text}");
+    }
+    assert!(server.seen().is_empty(), "none of it goes on");
+}
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -24,6 +24,8 @@
     pub busy: Duration,
     /// Whether bytes that pass, either way, give a request its time anew.
     pub by_progress: bool,
+    /// A client that has ended its sending still gets its answer; else it counts as gone.
+    pub half_close: bool,
 }
 
 /// What a client's connection is doing.
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -2,7 +2,7 @@
 
 use crate::clients::{Client, Clients, Patience, Phase};
 use crate::limits::Limits;
-use crate::socket::{close_gently, pending, Pending, Socket, Stream};
+use crate::socket::{close_gently, is_reset, pending, Pending, Socket, Stream};
 use crate::stream::ServerStream;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -181,6 +181,7 @@
         });
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER_MAX);
+        builder.half_close(self.patience.half_close);
         if let Some(most) = F::HEADERS_MAX {
             builder.max_headers(most);
         }
@@ -189,6 +190,7 @@
             biased;
             ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => ended,
             () = self.unwanted(client) => return Close::Now,
+            () = self.reset(stream, client) => return Close::Now,
         };
         match ended {
             // A malformed request has had its answer, 400.
@@ -207,6 +209,23 @@
         }
     }
 
+    /// Waits until the other side of a connection that is answered to its end has reset it.
+    /// The library does not look while a request is open.
+    async fn reset(&self, stream: &Stream, client: &Client) {
+        poll_fn(|cx| {
+            if !self.patience.half_close || client.phase() != Phase::Busy {
+                return Poll::Pending;
+            }
+            let ready = stream.borrow().poll_read_ready(cx).is_ready();
+            if ready && is_reset(stream) {
+                Poll::Ready(())
+            } else {
+                Poll::Pending
+            }
+        })
+        .await
+    }
+
     /// Waits until a connection is dead, evicted, or idle at the planned end.
     async fn unwanted(&self, client: &Client) {
         let dead = async {
--- a/crates/proxy/src/scan.rs
+++ b/crates/proxy/src/scan.rs
@@ -9,6 +9,8 @@
 
 /// What of a line is kept: enough for the fields that matter.
 const LINE_KEPT: usize = 256;
+/// Why a head is doubtful whose lines do not all end in CR LF.
+const NO_BREAK: &str = "a line break that is none";
 /// Digits of a length that fits.
 const DIGITS: usize = 18;
 
@@ -90,6 +92,8 @@
     line: Vec<u8>,
     /// The line has more than was kept.
     long: bool,
+    /// The last byte of the line so far is a carriage return.
+    returned: bool,
     head: Head,
     /// Heads that are whole and have not been asked for.
     heads: VecDeque<Head>,
@@ -127,6 +131,7 @@
                     let end = bytes.iter().position(|b| *b == b'\n');
                     let part = &bytes[..end.unwrap_or(bytes.len())];
                     let room = LINE_KEPT - self.line.len();
+                    self.returned = part.last().map_or(self.returned, |b| *b == b'\r');
                     self.line.extend_from_slice(&part[..part.len().min(room)]);
                     self.long |= part.len() > room;
                     bytes = &bytes[end.map_or(bytes.len(), |end| end + 1)..];
@@ -149,29 +154,37 @@
     fn line_over(&mut self) {
         let mut line = std::mem::take(&mut self.line);
         let long = std::mem::take(&mut self.long);
-        let ended = !long && line.last() == Some(&b'\r');
-        if ended {
+        // Danger: where a bare line feed ends a line for one reader and not for another, they
+        // see different fields (RFC 9112 2.2).
+        let ended = std::mem::take(&mut self.returned);
+        if ended && !long {
             line.pop();
         }
-        let bare = line.contains(&b'\r');
+        let bare = line.contains(&b'\r') || !ended;
         self.state = match self.state {
             // An empty line before a request is passed over (RFC 9112 2.2).
             State::Start if line.is_empty() => State::Start,
             State::Start => {
                 if bare {
-                    self.head.doubt("a line break that is none");
+                    self.head.doubt(NO_BREAK);
                 }
                 State::Fields
             }
-            State::Fields if line.is_empty() => self.head_over(),
+            State::Fields if line.is_empty() => {
+                if bare {
+                    self.head.doubt(NO_BREAK);
+                }
+                self.head_over()
+            }
             State::Fields => {
                 if bare {
-                    self.head.doubt("a line break that is none");
+                    self.head.doubt(NO_BREAK);
                 }
                 self.head.field(&line);
                 State::Fields
             }
             State::Size => self.size(&line, ended),
+            State::Trailers if bare => self.spoil(),
             State::Trailers if line.is_empty() => State::Start,
             other => other,
         };
@@ -263,6 +276,8 @@
             "Transfer-Encoding: xchunked",
             "A: b\r\n folded: c",
             "A: b\rC: d",
+            "A: b\nC: d",
+            "X: y\nTransfer-Encoding: chunked",
             "no colon",
         ] {
             let bytes = format!("GET / HTTP/1.1\r\n{field}\r\n\r\n");
@@ -275,6 +290,13 @@
         }
         let endless = b"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nxy\r\n0\r\n\r\n";
         assert!(heads(endless, 7).1);
+        let long = format!("GET / HTTP/1.1\r\nA: {}\nB: c\r\n\r\n", "b".repeat(400));
+        for cut in [5, 100, 300, 417, 418, 419] {
+            assert!(heads(long.as_bytes(), cut).0[0].doubtful.is_some(), "{cut}");
+            let good =
+                long.replacen('\n', "\r\n", 2).replace("\r\r", "\r").replace("b\nB", "b\r\nB");
+            assert_eq!(heads(good.as_bytes(), cut).0[0].doubtful, None, "{cut}");
+        }
         let bare = b"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\nx\r\n0\r\n\r\n";
         assert!(heads(bare, 7).1);
     }
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -110,6 +110,13 @@
     }
 }
 
+/// Whether the other side has reset the connection: it can't take an answer any more.
+pub fn is_reset(stream: &Stream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    let peeked = SockRef::from(&*stream.borrow()).peek(&mut byte);
+    peeked.is_err_and(|error| error.kind() != io::ErrorKind::WouldBlock)
+}
+
 /// How long a peer may take to close after this side has.
 const LINGER: Duration = Duration::from_secs(1);
 /// Most bytes that are read and dropped meanwhile.
