Part the circles of files: link, open, edits, service

link.rs holds one connection and one exchange, stream.rs gives its link back by a call, service.rs starts the admin listener and hears signals, open.rs holds what is open, edits.rs what routes change. No behaviour changes.

--- a/crates/mintshelf/src/daemon.rs
+++ b/crates/mintshelf/src/daemon.rs
@@ -1,6 +1,5 @@
 //! The daemon: what an operator's file describes, in force until the next good one.
 
-use crate::admin::Admin;
 use crate::check;
 use mintshelf_balancer::api::ListedServer;
 use mintshelf_config::admission::{admission, tenants};
@@ -24,7 +23,6 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
@@ -34,8 +32,6 @@
 const LINGER: Duration = Duration::from_millis(500);
 /// How often the end and the retired look whether the last request is over.
 const LOOK: Duration = Duration::from_millis(50);
-/// How often a watched file is looked at.
-const WATCH: Duration = Duration::from_secs(1);
 
 struct Listening {
     front: Rc<Plain>,
@@ -81,10 +77,10 @@
 }
 
 /// Why a file is not taken.
-type Refused = Vec<String>;
+pub type Refused = Vec<String>;
 
 /// Reads a file; the errors are lines.
-fn read(path: &Path) -> Result<File, Refused> {
+pub fn read(path: &Path) -> Result<File, Refused> {
     check::read(path).map_err(|unusable| unusable.lines())
 }
 
@@ -115,16 +111,15 @@
             // From the system's random numbers.
             seed: RandomState::new().build_hasher().finish(),
         });
-        let admin = file.admin;
         daemon.apply(file)?;
-        if let Some(address) = admin {
-            let listener = listen(address).map_err(|e| vec![format!("admin {address}: {e}")])?;
-            let front = Rc::new(Admin { daemon: daemon.clone() });
-            daemon.accept(front, listener, daemon.ending.clone());
-        }
         Ok(daemon)
     }
 
+    /// Serves a front beside the file's listeners, to the end.
+    pub fn also(&self, front: Rc<impl Front>, listener: TcpListener) {
+        self.accept(front, listener, self.ending.clone());
+    }
+
     fn accept<F: Front>(
         &self,
         front: Rc<F>,
@@ -275,7 +270,7 @@
     }
 
     /// Reads the file again; one that is refused changes nothing.
-    fn reload(&self) {
+    pub fn reload(&self) {
         let result = read(&self.path).and_then(|file| self.apply(file));
         let count = &self.reloads[usize::from(result.is_err())];
         count.set(count.get() + 1);
@@ -356,7 +351,7 @@
     }
 
     /// Ends: no further client is taken, and what is open is answered.
-    async fn end(&self) {
+    pub async fn end(&self) {
         self.ending.cancel();
         let listeners = std::mem::take(&mut self.state.borrow_mut().listeners);
         listeners.values().for_each(|listening| listening.draining.cancel());
@@ -395,47 +390,3 @@
         running.run.abort();
     });
 }
-
-/// Looks whether a file has changed, by its text's length and time.
-fn stamp(path: &Path) -> Option<(u64, SystemTime)> {
-    let about = std::fs::metadata(path).ok()?;
-    Some((about.len(), about.modified().ok()?))
-}
-
-/// Serves a file until SIGTERM or SIGINT.
-pub async fn run(path: PathBuf, watch: bool) -> Result<(), String> {
-    let signals = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
-    let mut terminated = signals(SignalKind::terminate())?;
-    let mut interrupted = signals(SignalKind::interrupt())?;
-    let mut hung_up = signals(SignalKind::hangup())?;
-    let refused = |lines: Refused| format!("{} is refused:\n{}", path.display(), lines.join("\n"));
-    let mut seen = stamp(&path);
-    let file = read(&path).map_err(refused)?;
-    let addresses: Vec<String> = file.listeners.iter().map(|l| l.address.to_string()).collect();
-    let daemon = Daemon::start(path.clone(), file).map_err(refused)?;
-    eprintln!("mintshelf: listens on {}", addresses.join(", "));
-    let reloads = async {
-        while hung_up.recv().await.is_some() {
-            daemon.reload();
-        }
-    };
-    let watches = async {
-        loop {
-            sleep(WATCH).await;
-            let now = stamp(&path).filter(|_| watch);
-            if now.is_some() && now != seen {
-                seen = now;
-                daemon.reload();
-            }
-        }
-    };
-    tokio::select! {
-        () = reloads => {}
-        () = watches => {}
-        _ = terminated.recv() => {}
-        _ = interrupted.recv() => {}
-    }
-    eprintln!("mintshelf: ends");
-    daemon.end().await;
-    Ok(())
-}
--- a/crates/mintshelf/src/main.rs
+++ b/crates/mintshelf/src/main.rs
@@ -7,6 +7,7 @@
 mod demo;
 mod explain;
 mod platform;
+mod service;
 
 use clap::{Parser, Subcommand, ValueEnum};
 use std::future::Future;
@@ -96,7 +97,7 @@
 fn main() -> ExitCode {
     match Cli::parse().command {
         None => block_on(platform::run()),
-        Some(Command::Run { config, watch }) => block_on(daemon::run(config, watch)),
+        Some(Command::Run { config, watch }) => block_on(service::run(config, watch)),
         Some(Command::Check { file, format }) => check::run(&file, matches!(format, Format::Json)),
         Some(Command::Explain { file, method, url, headers }) => {
             explain::run(&file, &method, &url, &headers)
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -5,12 +5,15 @@
 use crate::clock::Clock;
 use crate::discovery::{Discovery, Fleet};
 use crate::endpoints::{Endpoints, ListSink};
+use crate::link::To;
 use crate::message::parse_report;
+pub use crate::open::{Arrival, Message, Reply};
+use crate::open::{Attempt, Core, Taken};
 use crate::peers::Peers;
 use crate::probe::Probing;
 use crate::seat::{Cancel, Seat, Sitting};
 use crate::trying::{self, Trial};
-use crate::upstream::{Answer, AnswerBody, Connections, Ended, Style, To, Until, Upstream};
+use crate::upstream::{Answer, AnswerBody, Connections, Ended, Style, Until, Upstream};
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::Request;
 use mintshelf_balancer::api::*;
@@ -25,9 +28,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::task::{spawn_local, AbortHandle};
-use tokio_util::time::{delay_queue, DelayQueue};
+use tokio::task::spawn_local;
+use tokio_util::time::DelayQueue;
 
 /// Tells a server how long this sidecar will wait.
 const REMAINING: HeaderName = HeaderName::from_static("x-remaining-ms");
@@ -36,90 +38,6 @@
 /// A client that is told when to come back may take so long longer.
 const ADVICE_MARGIN: Nanos = SECOND;
 
-/// What a client is told in the end.
-pub enum Reply {
-    /// The server's answer.
-    Served(Box<Answer>),
-    /// Trying again is harmless, after a while.
-    Refused {
-        /// So long.
-        after: Nanos,
-        /// When the first attempt went that may have run, if any.
-        ran_at: Option<Nanos>,
-    },
-    /// The same, while the whole cluster is out or coming back.
-    Paced(Nanos),
-    /// Nothing is promised.
-    Failed {
-        /// The last attempt had no answer in time.
-        timed_out: bool,
-    },
-}
-
-/// What the decision module is told of a request.
-pub struct Arrival {
-    /// Its class.
-    pub class: u32,
-    /// Its tenant.
-    pub tenant: u32,
-    /// What it concerns.
-    pub key: Option<u64>,
-    /// Expected work, if known.
-    pub cost_hint: Option<Nanos>,
-    /// Marked by the client as a repeat.
-    pub repeat: bool,
-    /// How long the client waits.
-    pub patience: Nanos,
-}
-
-/// A request as it goes to servers, with what its body takes of the budget.
-pub struct Message {
-    /// Its head and body.
-    pub request: Request<Outbound>,
-    /// The id that its client gave it, where no two open requests may share one.
-    pub txn: Option<HeaderValue>,
-    /// Given back with the last attempt.
-    pub _room: Option<OwnedSemaphorePermit>,
-}
-
-/// A request from its last byte to its final answer and its last attempt.
-struct Taken {
-    message: Message,
-    class: usize,
-    /// When its answer is in time no longer, counted from an attempt's start.
-    aim: Nanos,
-    deadline: Nanos,
-    /// Absent once the client has its answer, or has left.
-    reply: Option<Rc<Seat<Reply>>>,
-    attempts: Vec<Attempt>,
-    out: usize,
-    /// A server's answer that counts as a failure, passed on if nothing better comes.
-    kept: Option<Answer>,
-    timed_out: bool,
-}
-
-struct Attempt {
-    server: ServerId,
-    sent: Nanos,
-    cancel: Rc<Cancel>,
-    /// It has ended, and is known not to have run.
-    never_ran: bool,
-    over: bool,
-}
-
-struct Core {
-    balancer: Balancer,
-    taken: HashMap<RequestId, Taken>,
-    /// Clients' ids of the requests above.
-    open: HashSet<HeaderValue>,
-    events: VecDeque<Event>,
-    timers: DelayQueue<u64>,
-    /// Where in the queue each timer is, by its token.
-    timer_keys: HashMap<u64, delay_queue::Key>,
-    last_id: u64,
-    watch: Option<AbortHandle>,
-}
-
 /// Feeds the decision module and carries out what it decides.
 pub struct Driver {
     core: RefCell<Core>,
@@ -606,68 +524,6 @@
     }
 }
 
-impl Core {
-    /// Refuses a request, and tells what is known of its attempts.
-    fn refuse(&mut self, id: &RequestId, after: Nanos) -> Option<Reply> {
-        let first = |taken: &Taken| taken.attempts.iter().find(|a| !a.never_ran).map(|a| a.sent);
-        let ran_at = self.taken.get(id).and_then(first);
-        self.conclude(id, Reply::Refused { after, ran_at })
-    }
-
-    /// Gives a client its final answer; back comes one that nobody takes.
-    fn conclude(&mut self, id: &RequestId, reply: Reply) -> Option<Reply> {
-        let Some(taken) = self.taken.get_mut(id) else { return Some(reply) };
-        let reply = match (reply, taken.kept.take()) {
-            (Reply::Refused { .. } | Reply::Failed { .. }, Some(kept)) => {
-                Reply::Served(Box::new(kept))
-            }
-            (Reply::Failed { .. }, None) => Reply::Failed { timed_out: taken.timed_out },
-            (reply, _) => reply,
-        };
-        let Some(client) = taken.reply.take() else { return Some(reply) };
-        client.reply(reply);
-        // A copy that is still out has lost.
-        taken.attempts.iter().filter(|a| !a.over).for_each(|a| a.cancel.cancel());
-        self.forget(id);
-        None
-    }
-
-    /// Drops a request's record once nothing more can come of it.
-    fn forget(&mut self, id: &RequestId) {
-        if self.taken.get(id).is_some_and(|t| t.reply.is_none() && t.out == 0) {
-            if let Some(taken) = self.taken.remove(id) {
-                if let Some(txn) = &taken.message.txn {
-                    self.open.remove(txn);
-                }
-            }
-        }
-    }
-
-    /// Notes an attempt's end; each has exactly one. Back comes the module's event, and
-    /// whether it took no longer than the class's aim.
-    fn end_attempt(
-        &mut self,
-        id: &RequestId,
-        number: u32,
-        outcome: Outcome,
-        report: Option<Vec<f64>>,
-        now: Nanos,
-    ) -> Option<(Event, bool)> {
-        let taken = self.taken.get_mut(id)?;
-        let attempt = taken.attempts.get_mut(number as usize).filter(|a| !a.over)?;
-        (attempt.over, attempt.never_ran) = (true, outcome.never_ran());
-        taken.out -= 1;
-        taken.timed_out = outcome == Outcome::TimedOut;
-        let took = now.saturating_sub(attempt.sent);
-        let server = attempt.server;
-        let (finished, in_time) = (taken.reply.is_none(), took <= taken.aim);
-        self.forget(id);
-        let (id, attempt) = (id.clone(), number);
-        let event = Event::AttemptEnded { id, attempt, outcome, finished, took, server, report };
-        Some((event, in_time))
-    }
-}
-
 /// One attempt on its way.
 struct AttemptRun {
     driver: Rc<Driver>,
--- /dev/null
+++ b/crates/proxy/src/open.rs
@@ -0,0 +1,162 @@
+//! Requests that are open, with their attempts: what each has come to.
+
+use crate::body::Outbound;
+use crate::seat::{Cancel, Seat};
+use crate::upstream::Answer;
+use hyper::header::HeaderValue;
+use hyper::Request;
+use mintshelf_balancer::api::*;
+use mintshelf_balancer::decide::Balancer;
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::rc::Rc;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::task::AbortHandle;
+use tokio_util::time::{delay_queue, DelayQueue};
+
+/// What a client is told in the end.
+pub enum Reply {
+    /// The server's answer.
+    Served(Box<Answer>),
+    /// Trying again is harmless, after a while.
+    Refused {
+        /// So long.
+        after: Nanos,
+        /// When the first attempt went that may have run, if any.
+        ran_at: Option<Nanos>,
+    },
+    /// The same, while the whole cluster is out or coming back.
+    Paced(Nanos),
+    /// Nothing is promised.
+    Failed {
+        /// The last attempt had no answer in time.
+        timed_out: bool,
+    },
+}
+
+/// What the decision module is told of a request.
+pub struct Arrival {
+    /// Its class.
+    pub class: u32,
+    /// Its tenant.
+    pub tenant: u32,
+    /// What it concerns.
+    pub key: Option<u64>,
+    /// Expected work, if known.
+    pub cost_hint: Option<Nanos>,
+    /// Marked by the client as a repeat.
+    pub repeat: bool,
+    /// How long the client waits.
+    pub patience: Nanos,
+}
+
+/// A request as it goes to servers, with what its body takes of the budget.
+pub struct Message {
+    /// Its head and body.
+    pub request: Request<Outbound>,
+    /// The id that its client gave it, where no two open requests may share one.
+    pub txn: Option<HeaderValue>,
+    /// Given back with the last attempt.
+    pub _room: Option<OwnedSemaphorePermit>,
+}
+
+/// A request from its last byte to its final answer and its last attempt.
+pub(crate) struct Taken {
+    pub(crate) message: Message,
+    pub(crate) class: usize,
+    /// When its answer is in time no longer, counted from an attempt's start.
+    pub(crate) aim: Nanos,
+    pub(crate) deadline: Nanos,
+    /// Absent once the client has its answer, or has left.
+    pub(crate) reply: Option<Rc<Seat<Reply>>>,
+    pub(crate) attempts: Vec<Attempt>,
+    pub(crate) out: usize,
+    /// A server's answer that counts as a failure, passed on if nothing better comes.
+    pub(crate) kept: Option<Answer>,
+    pub(crate) timed_out: bool,
+}
+
+/// One of its attempts.
+pub(crate) struct Attempt {
+    pub(crate) server: ServerId,
+    pub(crate) sent: Nanos,
+    pub(crate) cancel: Rc<Cancel>,
+    /// It has ended, and is known not to have run.
+    pub(crate) never_ran: bool,
+    pub(crate) over: bool,
+}
+
+/// The decision module with all that is open, on one thread.
+pub(crate) struct Core {
+    pub(crate) balancer: Balancer,
+    pub(crate) taken: HashMap<RequestId, Taken>,
+    /// Clients' ids of the requests above.
+    pub(crate) open: HashSet<HeaderValue>,
+    pub(crate) events: VecDeque<Event>,
+    pub(crate) timers: DelayQueue<u64>,
+    /// Where in the queue each timer is, by its token.
+    pub(crate) timer_keys: HashMap<u64, delay_queue::Key>,
+    pub(crate) last_id: u64,
+    pub(crate) watch: Option<AbortHandle>,
+}
+
+impl Core {
+    /// Refuses a request, and tells what is known of its attempts.
+    pub(crate) fn refuse(&mut self, id: &RequestId, after: Nanos) -> Option<Reply> {
+        let first = |taken: &Taken| taken.attempts.iter().find(|a| !a.never_ran).map(|a| a.sent);
+        let ran_at = self.taken.get(id).and_then(first);
+        self.conclude(id, Reply::Refused { after, ran_at })
+    }
+
+    /// Gives a client its final answer; back comes one that nobody takes.
+    pub(crate) fn conclude(&mut self, id: &RequestId, reply: Reply) -> Option<Reply> {
+        let Some(taken) = self.taken.get_mut(id) else { return Some(reply) };
+        let reply = match (reply, taken.kept.take()) {
+            (Reply::Refused { .. } | Reply::Failed { .. }, Some(kept)) => {
+                Reply::Served(Box::new(kept))
+            }
+            (Reply::Failed { .. }, None) => Reply::Failed { timed_out: taken.timed_out },
+            (reply, _) => reply,
+        };
+        let Some(client) = taken.reply.take() else { return Some(reply) };
+        client.reply(reply);
+        // A copy that is still out has lost.
+        taken.attempts.iter().filter(|a| !a.over).for_each(|a| a.cancel.cancel());
+        self.forget(id);
+        None
+    }
+
+    /// Drops a request's record once nothing more can come of it.
+    pub(crate) fn forget(&mut self, id: &RequestId) {
+        if self.taken.get(id).is_some_and(|t| t.reply.is_none() && t.out == 0) {
+            if let Some(taken) = self.taken.remove(id) {
+                if let Some(txn) = &taken.message.txn {
+                    self.open.remove(txn);
+                }
+            }
+        }
+    }
+
+    /// Notes an attempt's end; each has exactly one. Back comes the module's event, and
+    /// whether it took no longer than the class's aim.
+    pub(crate) fn end_attempt(
+        &mut self,
+        id: &RequestId,
+        number: u32,
+        outcome: Outcome,
+        report: Option<Vec<f64>>,
+        now: Nanos,
+    ) -> Option<(Event, bool)> {
+        let taken = self.taken.get_mut(id)?;
+        let attempt = taken.attempts.get_mut(number as usize).filter(|a| !a.over)?;
+        (attempt.over, attempt.never_ran) = (true, outcome.never_ran());
+        taken.out -= 1;
+        taken.timed_out = outcome == Outcome::TimedOut;
+        let took = now.saturating_sub(attempt.sent);
+        let server = attempt.server;
+        let (finished, in_time) = (taken.reply.is_none(), took <= taken.aim);
+        self.forget(id);
+        let (id, attempt) = (id.clone(), number);
+        let event = Event::AttemptEnded { id, attempt, outcome, finished, took, server, report };
+        Some((event, in_time))
+    }
+}
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -1,8 +1,9 @@
 //! Probes: whether a server is healthy, and how loaded.
 
 use crate::body::Outbound;
+use crate::link::To;
 use crate::message::parse_report;
-use crate::upstream::{To, Upstream};
+use crate::upstream::Upstream;
 use hyper::{header, Request, StatusCode};
 use mintshelf_balancer::api::Outcome;
 use std::time::Duration;
--- a/crates/proxy/src/stream.rs
+++ b/crates/proxy/src/stream.rs
@@ -1,6 +1,6 @@
 //! The body of an answer, passed on as its server sends it.
 
-use crate::upstream::{Link, Upstream};
+use crate::link::Link;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use mintshelf_balancer::api::Outcome;
@@ -9,17 +9,18 @@
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
-use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::time::{sleep, Instant, Sleep};
 
 type OnEnd = Box<dyn FnOnce(Outcome)>;
+type GiveBack = Box<dyn FnOnce(Link)>;
 
 /// An answer that is still coming, with the connection that it comes on. Dropping it closes
 /// that connection; memory is bounded by the buffers of the two connections.
 pub struct ServerStream {
-    upstream: Rc<Upstream>,
+    /// Takes the connection back when the answer has ended.
+    give_back: Option<GiveBack>,
     /// Read before the answer was passed on.
     queued: VecDeque<Frame<Bytes>>,
     queued_bytes: u64,
@@ -39,17 +40,17 @@
 impl ServerStream {
     /// An answer of which a part is here already.
     pub(crate) fn new(
-        upstream: Rc<Upstream>,
         queued: VecDeque<Frame<Bytes>>,
         rest: Option<(Link, Incoming)>,
         stall: Duration,
         outcome: Outcome,
+        give_back: GiveBack,
     ) -> Self {
         let queued_bytes = queued.iter().filter_map(Frame::data_ref).map(|d| d.len() as u64).sum();
         let stalled = Box::pin(sleep(stall));
         let (waiting, on_end, kept) = (false, None, None);
         ServerStream {
-            upstream,
+            give_back: Some(give_back),
             queued,
             queued_bytes,
             rest,
@@ -120,8 +121,8 @@
                 Poll::Ready(Some(Err(error)))
             }
             Poll::Ready(None) => {
-                if let Some((link, _)) = this.rest.take() {
-                    this.upstream.rest(link);
+                if let Some(((link, _), give_back)) = this.rest.take().zip(this.give_back.take()) {
+                    give_back(link);
                 }
                 this.end(this.outcome);
                 Poll::Ready(None)
