One schema for the file, a log with fields, and what limits cost

Editors had nothing to check a file by, and the log was plain lines at any rate.

schema.rs states the form as types (schemars); mintshelf schema prints it, deploy/schema.json keeps it; a test compares the keys of every table with those that the reader asks for and the verdicts on 52 broken files. The daemon logs through tracing, text or JSON, levels by MINTSHELF_LOG, ten lines a second about single requests.

--- a/crates/config/src/file/mod.rs
+++ b/crates/config/src/file/mod.rs
@@ -11,7 +11,7 @@
 use crate::problem::{BrokenRule, Places, Problem};
 use mintshelf_balancer::api::Effect;
 use reader::{At, Reader, Table};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::time::Duration;
@@ -61,7 +61,7 @@
         let broken = syntax.iter().filter_map(|e| e.span()).map(|s| s.start).min().unwrap_or(0);
         problems.retain(|(at, problem)| *at < broken && *at > 0 && !checks::refers(problem));
         let places = Places::new(text);
-        let mut lines = std::collections::BTreeSet::new();
+        let mut lines = BTreeSet::new();
         for error in &syntax {
             let start = error.span().map_or(text.len(), |span| span.start);
             let (line, column) = places.of(start);
@@ -79,6 +79,17 @@
     }
 }
 
+/// The keys that the reader knows in each table of a file, by the table's path: what a schema
+/// is held to.
+pub fn known_keys(text: &str) -> BTreeMap<String, BTreeSet<&'static str>> {
+    let (table, _) = toml::de::DeTable::parse_recoverable(text);
+    let reader = Reader::new("", text);
+    let top = Table::new(&reader, "", 0..0, table.get_ref());
+    top_level(&top, 0);
+    top.finish();
+    reader.known()
+}
+
 fn top_level(top: &Table, hash: u64) -> File {
     let process = process_limits(top.table("limits"));
     let forwarding = forwarding(top.table("forwarding"));
--- a/crates/config/src/file/reader.rs
+++ b/crates/config/src/file/reader.rs
@@ -25,8 +25,13 @@
     places: Places<'a>,
     problems: RefCell<Vec<(usize, Problem)>>,
     stated: RefCell<BTreeMap<String, Range<usize>>>,
+    /// The keys that were asked for in each table.
+    known: RefCell<Known>,
 }
 
+/// Keys by table.
+pub type Known = BTreeMap<String, BTreeSet<&'static str>>;
+
 impl<'a> Reader<'a> {
     pub fn new(name: &'a str, text: &'a str) -> Self {
         Reader {
@@ -34,6 +39,7 @@
             places: Places::new(text),
             problems: RefCell::default(),
             stated: RefCell::default(),
+            known: RefCell::default(),
         }
     }
 
@@ -72,6 +78,11 @@
         self.stated.borrow_mut().insert(field.to_string(), span.clone());
     }
 
+    /// The keys that were asked for.
+    pub fn known(self) -> Known {
+        self.known.into_inner()
+    }
+
     /// Where a field stands that was stated; else the file's beginning.
     pub fn span_of(&self, field: &str) -> Range<usize> {
         self.stated.borrow().get(field).cloned().unwrap_or(0..0)
@@ -388,6 +399,7 @@
     /// Notes every key that nobody asked for, with the known one that it is most like.
     pub fn finish(self) {
         let asked = self.asked.borrow();
+        self.reader.known.borrow_mut().insert(self.field.clone(), asked.clone());
         for (key, _) in self.table.iter() {
             let name: &str = key.get_ref();
             if asked.contains(name) {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod module;
 pub mod platform;
 pub mod problem;
+pub mod schema;
--- /dev/null
+++ b/crates/config/tests/common/mod.rs
@@ -0,0 +1,71 @@
+//! Example files, good and broken.
+#![allow(dead_code)]
+
+pub const MINIMAL: &str = include_str!("../../../../deploy/minimal.toml");
+pub const LAB: &str = include_str!("../../../../deploy/lab.toml");
+
+/// A file, and what its errors must begin with and hold.
+pub type Broken = (&'static str, String, &'static [(&'static str, &'static str)]);
+
+pub fn with(from: &str, to: &str) -> String {
+    assert!(LAB.contains(from), "{from}");
+    LAB.replacen(from, to, 1)
+}
+
+pub fn broken() -> Vec<Broken> {
+    let route = |more: &str| format!("{MINIMAL}prefix = \"/x\"\n{more}\n");
+    vec![
+        ("typo of a key", with("sockets = 256", "socket = 256"), &[("f:11:1", "did you mean 'sockets'?")]),
+        ("typo of a table", with("[limits]", "[limit]"), &[("f:9:2", "did you mean 'limits'?")]),
+        ("unknown key", with("worth = 3", "colour = 3"), &[("f:26:1", "known here: aim")]),
+        ("number for a span", with("\"400ms\"", "400"), &[("f:24:7", "is a whole number, not a text")]),
+        ("span without unit", with("\"400ms\"", "\"400\""), &[("f:24:7", "with its unit")]),
+        ("negative span", with("\"400ms\"", "\"-4s\""), &[("f:24:7", "'-4s'")]),
+        ("absurd span", with("\"1.2s\"\nworth = 3", "\"900y\"\nworth = 3"), &[("f:25:12", "is not between")]),
+        ("size too small", with("\"32MiB\"", "\"1KiB\""), &[("f:10:10", "is not between")]),
+        ("size of nothing", with("\"32MiB\"", "\"much\""), &[("f:10:10", "'much'")]),
+        ("few sockets", with("sockets = 256", "sockets = 3"), &[("f:11:11", "not between 64")]),
+        ("half a socket", with("sockets = 256", "sockets = 100.5"), &[("f:11:11", "whole number")]),
+        ("aim past deadline", with("\"400ms\"", "\"2s\""), &[("f:24:7", "rule 1")]),
+        ("unknown effect", with("\"keyed\"", "\"kind\""), &[("f:36:10", "'kind'"), ("f:37:10", "only keyed")]),
+        ("keyed without window", with("window = \"20s\"\n", ""), &[("f:36:10", "rule 2, no effect twice")]),
+        ("window on unsafe", with("effect = \"unsafe\"", "effect = \"unsafe\"\nwindow = \"20s\""), &[("f:45:10", "only keyed")]),
+        ("negative worth", with("worth = 8", "worth = -8"), &[("f:47:9", "-8 is not between")]),
+        ("no address", with("127.0.0.1:9003", "bench-node:9003"), &[("f:58:30", "names are not looked up")]),
+        ("port 0", with("127.0.0.1:8080", "127.0.0.1:0"), &[("f:6:11", "port 0")]),
+        ("address twice", with("127.0.0.1:9002", "127.0.0.1:9001"), &[("f:57:5", "stands in line 56")]),
+        ("name twice", with("\"c2\"", "\"c1\""), &[("f:57:5", "the name 'c1' stands in line 56")]),
+        ("all weights zero", with("weight = 3", "weight = 0").replace("weight = 2", "weight = 0"), &[("f:49:11", "every endpoint has weight 0 (would break rule 1")]),
+        ("no endpoints", "listen = \"127.0.0.1:1\"\n[clusters.a]\nendpoints = []\n[[routes]]\ncluster = \"a\"\n".into(), &[("f:2:1", "there are no endpoints")]),
+        ("seven attempts", with("idle-timeout = \"15s\"", "max-attempts = 7"), &[("f:52:16", "7 is not between 1 and 6")]),
+        ("success as failure", with("idle-timeout = \"15s\"", "failure-statuses = [200]"), &[("f:52:21", "not a status of a failure")]),
+        ("warm-from alone", with("warm-up = \"8s\"\n", ""), &[("f:53:13", "rule 4")]),
+        ("listeners clash", with("[limits]", "[[listeners]]\naddress = \"0.0.0.0:8080\"\n[limits]"), &[("f:10:11", "clashes with the listener in line 6")]),
+        ("admin clashes", with("address = \"127.0.0.1:9901\"", "address = \"127.0.0.1:8080\""), &[("f:6:11", "clashes with the admin")]),
+        ("no listener", MINIMAL.replacen("listen = \"127.0.0.1:8080\"\n", "", 1), &[("f:1:1", "there is no listener")]),
+        ("no route", MINIMAL.replace("[[routes]]\ncluster = \"web\"\n", ""), &[("f:1:1", "there is no route"), ("f:2:11", "named nowhere")]),
+        ("unknown cluster", MINIMAL.replace("cluster = \"web\"", "cluster = \"wep\""), &[("f:2:11", "named nowhere"), ("f:5:11", "did you mean 'web'?")]),
+        ("unknown class", with("class = \"run-logs\"", "class = \"runlogs\""), &[("f:28:10", "named nowhere"), ("f:72:9", "did you mean 'run-logs'?")]),
+        ("unknown listener", format!("{MINIMAL}listeners = [\"x\"]"), &[("f:6:14", "no such listener")]),
+        ("same route again", format!("{MINIMAL}[[routes]]\nname = \"late\"\ncluster = \"web\"\n"), &[("f:6:1", "route 'route0' in line 4 takes them all")]),
+        ("path and prefix", route("path = \"/y\""), &[("f:4:1", "has path and prefix at once")]),
+        ("path without slash", MINIMAL.to_string() + "prefix = \"x\"", &[("f:6:10", "does not begin with a slash")]),
+        ("path that climbs", MINIMAL.to_string() + "path = \"/a/%2e./b\"", &[("f:6:8", "'.' or '..'")]),
+        ("bad expression", MINIMAL.to_string() + "regex = \"(\"", &[("f:6:9", "unclosed group")]),
+        ("bad host", MINIMAL.to_string() + "hosts = [\"a.*\"]", &[("f:6:10", "whole labels")]),
+        ("bad method", MINIMAL.to_string() + "methods = [\"get\"]", &[("f:6:12", "'get'")]),
+        ("two ways", route("respond = { status = 404 }"), &[("f:4:1", "cluster and respond at once")]),
+        ("no way", "listen = \"127.0.0.1:1\"\n[[routes]]\n".into(), &[("f:2:1", "says nothing of where")]),
+        ("no weight", "listen = \"127.0.0.1:1\"\n[clusters.a]\nendpoints = \"127.0.0.1:2\"\n[[routes]]\nclusters = { a = 0 }\n".into(), &[("f:5:12", "no cluster has a weight")]),
+        ("framing set by hand", route("request-headers.set = { Content-Length = \"3\" }"), &[("f:7:25", "belongs to the connection")]),
+        ("header split", route("response-headers.set = { x = \"a\\nb\" }"), &[("f:7:26", "not a header's value")]),
+        ("redirect to itself", route("").replace("cluster = \"web\"", "redirect = { status = 301 }"), &[("f:2:11", "named nowhere"), ("f:5:12", "where they are")]),
+        ("redirect with 200", route("").replace("cluster = \"web\"", "redirect = { status = 304, path = \"/\" }"), &[("f:2:11", ""), ("f:5:23", "sends nobody")]),
+        ("body in 204", route("").replace("cluster = \"web\"", "respond = { status = 204, body = \"x\" }"), &[("f:2:11", ""), ("f:5:22", "has no body")]),
+        ("sticky by nothing", route("sticky = \"luck\""), &[("f:7:10", "where a key comes from")]),
+        ("keyed route", route("effect = \"keyed\""), &[("f:4:1", "rule 2")]),
+        ("key twice", "listen = \"127.0.0.1:1\"\nlisten = \"127.0.0.1:2\"\n".into(), &[("f:2:1", "duplicate key")]),
+        ("truncated", LAB[..LAB.len() / 2].to_string(), &[("f:46:3", "")]),
+        ("empty", String::new(), &[("f:1:1", "no listener"), ("f:1:1", "no route")]),
+    ]
+}
--- /dev/null
+++ b/crates/config/tests/schema.rs
@@ -0,0 +1,173 @@
+//! The schema against the reader: the same keys in every table, the same verdicts wherever a
+//! schema can tell.
+
+mod common;
+
+use common::{broken, LAB, MINIMAL};
+use mintshelf_config::{file, schema};
+use serde_json::Value;
+use std::collections::BTreeSet;
+
+/// A file with every table that there is.
+const ALL: &str = r#"
+listen = "127.0.0.1:1"
+tenant-header = "x-m"
+[[listeners]]
+address = "127.0.0.1:2"
+[limits]
+[forwarding]
+[admin]
+address = "127.0.0.1:3"
+[defaults]
+backoff = { first = "1ms" }
+hedge = { after = "p95" }
+[tenants.t]
+header-values = "v"
+[classes.c]
+backoff = { first = "1ms" }
+hedge = { after = "p95" }
+[clusters.c]
+endpoints = [{ address = "127.0.0.1:4" }]
+retry-budget = { ratio = 0.1 }
+second-copies = true
+[[routes]]
+class = "c"
+cluster = "c"
+headers = { x = { regex = "a" } }
+query = { x = { regex = "a" } }
+request-headers = { remove = ["x"] }
+response-headers = { remove = ["x"] }
+limits = { concurrency = 3 }
+overrides = { deadline = "9s", backoff = { first = "1ms" }, hedge = { after = "p95" } }
+[[routes]]
+prefix = "/r"
+redirect = { path = "/x" }
+[[routes]]
+prefix = "/s"
+respond = { status = 404 }
+"#;
+
+fn json(text: &str) -> Option<Value> {
+    let value: toml::Value = toml::from_str(text).ok()?;
+    serde_json::to_value(value).ok()
+}
+
+/// All schemas that one may stand for: references and alternatives followed.
+fn alternatives<'s>(whole: &'s Value, node: &'s Value, into: &mut Vec<&'s Value>) {
+    if let Some(name) = node["$ref"].as_str() {
+        let target =
+            whole.pointer(name.trim_start_matches('#')).expect("a reference leads somewhere");
+        return alternatives(whole, target, into);
+    }
+    into.push(node);
+    for key in ["anyOf", "oneOf", "allOf"] {
+        for inner in node[key].as_array().into_iter().flatten() {
+            alternatives(whole, inner, into);
+        }
+    }
+}
+
+/// The schemas of what stands under a path of the file.
+fn at<'s>(whole: &'s Value, path: &str) -> Vec<&'s Value> {
+    let mut here = Vec::new();
+    alternatives(whole, whole, &mut here);
+    for step in path.replace('[', ".[").split('.').filter(|step| !step.is_empty()) {
+        let mut next = Vec::new();
+        for node in here {
+            let inner = match step.starts_with('[') {
+                true => &node["items"],
+                false if node["properties"][step].is_null() => &node["additionalProperties"],
+                false => &node["properties"][step],
+            };
+            if inner.is_object() {
+                alternatives(whole, inner, &mut next);
+            }
+        }
+        here = next;
+    }
+    here
+}
+
+#[test]
+fn every_table_has_the_keys_that_the_reader_knows() {
+    assert!(file::read("f", ALL.as_bytes()).is_ok(), "{:?}", file::read("f", ALL.as_bytes()));
+    let whole = schema::schema();
+    let tables = file::known_keys(ALL);
+    assert!(tables.len() >= 25, "{:?}", tables.keys());
+    for (path, known) in tables {
+        // Tables whose keys are names have none of their own.
+        if known.is_empty() {
+            continue;
+        }
+        let known: BTreeSet<&str> = known.into_iter().collect();
+        let properties =
+            at(&whole, &path).into_iter().filter_map(|node| node["properties"].as_object());
+        let stated: BTreeSet<&str> =
+            properties.flat_map(|p| p.keys().map(String::as_str)).collect();
+        assert_eq!(stated, known, "in table '{path}'");
+    }
+}
+
+#[test]
+fn the_schema_judges_files_as_the_reader_does_where_it_can() {
+    let whole = schema::schema();
+    let validator = jsonschema::validator_for(&whole).expect("a schema");
+    for good in [MINIMAL, LAB, ALL] {
+        let errors: Vec<_> =
+            validator.iter_errors(&json(good).unwrap()).map(|e| e.to_string()).collect();
+        assert!(errors.is_empty(), "{errors:?}");
+    }
+    // What needs more than the form of a value: names, sums, clashes, words of other languages.
+    let beyond = [
+        "aim past deadline",
+        "keyed without window",
+        "window on unsafe",
+        "port 0",
+        "address twice",
+        "name twice",
+        "all weights zero",
+        "no endpoints",
+        "warm-from alone",
+        "listeners clash",
+        "admin clashes",
+        "no listener",
+        "unknown cluster",
+        "unknown class",
+        "unknown listener",
+        "same route again",
+        "path and prefix",
+        "path that climbs",
+        "bad expression",
+        "bad host",
+        "two ways",
+        "no way",
+        "no weight",
+        "framing set by hand",
+        "header split",
+        "redirect to itself",
+        "redirect with 200",
+        "body in 204",
+        "keyed route",
+        "size too small",
+        "absurd span",
+    ];
+    let (mut told, mut untold) = (0, Vec::new());
+    for (what, text, _) in broken() {
+        let Some(value) = json(&text) else { continue };
+        match validator.is_valid(&value) {
+            false => told += 1,
+            true if beyond.contains(&what) => {}
+            true => untold.push(what),
+        }
+        // What the schema refuses the reader refuses.
+        assert!(file::read("f", text.as_bytes()).is_err(), "{what}");
+    }
+    assert!(untold.is_empty(), "the schema could tell: {untold:?}");
+    assert!(told >= 15, "{told}");
+}
+
+#[test]
+fn the_schema_for_editors_is_this_one() {
+    let kept: Value = serde_json::from_str(include_str!("../../../deploy/schema.json")).unwrap();
+    assert_eq!(kept, schema::schema(), "write it anew: mintshelf schema > deploy/schema.json");
+}
--- /dev/null
+++ b/crates/mintshelf/benches/limits.rs
@@ -0,0 +1,283 @@
+//! Second copies with one slow endpoint among six, and members who ask too much, at the real
+//! daemon: `cargo bench -p mintshelf --bench limits`. Every row has its baseline in the same
+//! run. Prints its tables.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_mintshelf");
+const SPAN: Duration = Duration::from_secs(5);
+const ROUNDS: usize = 3;
+
+type Fault = Box<dyn std::error::Error + Send + Sync>;
+
+/// Reads one message that has a length; whether there was one.
+fn message(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<u16> {
+    buffer.clear();
+    let mut part = [0; 4096];
+    loop {
+        let head = buffer.windows(4).position(|w| w == b"\r\n\r\n");
+        if let Some(end) = head {
+            let text = String::from_utf8_lossy(&buffer[..end]).to_ascii_lowercase();
+            let length = text.split("content-length: ").nth(1);
+            let length = length.and_then(|rest| rest.lines().next()?.trim().parse().ok());
+            if buffer.len() >= end + 4 + length.unwrap_or(0) {
+                return Some(text.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0));
+            }
+        }
+        match stream.read(&mut part) {
+            Ok(count @ 1..) => buffer.extend_from_slice(&part[..count]),
+            _ => return None,
+        }
+    }
+}
+
+/// A server that takes so long for most answers, and so long for one of so many.
+fn serve(
+    at: SocketAddr,
+    usual: Duration,
+    slow: Duration,
+    one_of: u64,
+) -> Result<Arc<AtomicU64>, Fault> {
+    let (listener, count) = (TcpListener::bind(at)?, Arc::new(AtomicU64::new(0)));
+    let counted = count.clone();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let count = counted.clone();
+            thread::spawn(move || {
+                let _ = stream.set_nodelay(true);
+                let mut buffer = Vec::new();
+                while message(&mut stream, &mut buffer).is_some() {
+                    let number = count.fetch_add(1, Ordering::Relaxed);
+                    thread::sleep(if number % one_of == one_of - 1 { slow } else { usual });
+                    if stream
+                        .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood")
+                        .is_err()
+                    {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    Ok(count)
+}
+
+/// The daemon, ended when the bench is.
+struct Daemon(Child, std::path::PathBuf);
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+        let _ = std::fs::remove_file(&self.1);
+    }
+}
+
+fn daemon(at: SocketAddr, text: &str) -> Result<Daemon, Fault> {
+    let file = std::env::temp_dir().join(format!("mintshelf-limits-{}.toml", std::process::id()));
+    std::fs::write(&file, text)?;
+    let child = Command::new(PROGRAM)
+        .arg("run")
+        .arg("--config")
+        .arg(&file)
+        .stderr(Stdio::null())
+        .spawn()?;
+    let daemon = Daemon(child, file);
+    let begun = Instant::now();
+    while TcpStream::connect(at).is_err() && begun.elapsed() < Duration::from_secs(20) {
+        thread::sleep(Duration::from_millis(20));
+    }
+    Ok(daemon)
+}
+
+/// What one kind of client saw.
+#[derive(Default, Clone)]
+struct Seen {
+    times: Vec<Duration>,
+    served: usize,
+    refused: usize,
+}
+
+impl Seen {
+    fn quantile(&self, part: f64) -> f64 {
+        let mut times = self.times.clone();
+        times.sort_unstable();
+        let at = (times.len() as f64 * part) as usize;
+        times.get(at.min(times.len().saturating_sub(1))).map_or(0.0, |t| t.as_secs_f64() * 1e3)
+    }
+}
+
+/// So many clients, each with a pause between its requests, until the end.
+fn clients(
+    at: SocketAddr,
+    count: usize,
+    pause: Duration,
+    member: &str,
+    over: &Arc<AtomicBool>,
+) -> Vec<thread::JoinHandle<Seen>> {
+    let request = format!("GET /devices/7 HTTP/1.1\r\nHost: h\r\nX-Member: {member}\r\n\r\n");
+    let client = move |request: String, over: Arc<AtomicBool>, number: usize| {
+        let mut seen = Seen::default();
+        let Ok(mut stream) = TcpStream::connect(at) else { return seen };
+        let _ = stream.set_nodelay(true);
+        let mut buffer = Vec::new();
+        thread::sleep(pause.mul_f64(number as f64 / count as f64));
+        while !over.load(Ordering::Relaxed) {
+            let begun = Instant::now();
+            if stream.write_all(request.as_bytes()).is_err() {
+                break;
+            }
+            match message(&mut stream, &mut buffer) {
+                Some(200) => {
+                    seen.served += 1;
+                    seen.times.push(begun.elapsed());
+                }
+                Some(_) => seen.refused += 1,
+                None => break,
+            }
+            thread::sleep(pause.saturating_sub(begun.elapsed()));
+        }
+        seen
+    };
+    (0..count)
+        .map(|n| {
+            let (request, over) = (request.clone(), over.clone());
+            thread::spawn(move || client(request, over, n))
+        })
+        .collect()
+}
+
+fn joined(clients: Vec<thread::JoinHandle<Seen>>) -> Seen {
+    let mut all = Seen::default();
+    for seen in clients.into_iter().filter_map(|client| client.join().ok()) {
+        all.served += seen.served;
+        all.refused += seen.refused;
+        all.times.extend(seen.times);
+    }
+    all
+}
+
+fn address(host: u8, port: u16) -> SocketAddr {
+    ([127, 0, 92, host], port).into()
+}
+
+fn endpoints(count: u8) -> String {
+    let all: Vec<String> =
+        (0..count).map(|n| format!("\"{}\"", address(1, 19_200 + u16::from(n)))).collect();
+    format!("endpoints = [{}]", all.join(", "))
+}
+
+/// Median of the rounds.
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values[values.len() / 2]
+}
+
+fn hedging(counts: &[Arc<AtomicU64>]) -> Result<(), Fault> {
+    println!(
+        "a safe class at six endpoints of 4 ms, of which one takes 120 ms for every fourth answer;"
+    );
+    println!("24 clients with a request every 20 ms, {ROUNDS} rounds of {SPAN:?}, medians");
+    println!("{:>28} {:>8} {:>8} {:>8} {:>10}", "", "p50 ms", "p99 ms", "p99.9 ms", "attempts");
+    let at = address(2, 19_210);
+    for (name, hedge) in [
+        ("without", "hedge = false"),
+        ("after p95, share 0.05", "hedge = { after = \"p95\" }"),
+        ("after 20 ms, share 0.1", "hedge = { after = \"20ms\", share = 0.1 }"),
+    ] {
+        let text = format!(
+            "listen = \"{at}\"\n[classes.status]\naim = \"400ms\"\ndeadline = \"1.2s\"\n{hedge}\n\
+             [clusters.c]\nsecond-copies = true\n{}\n[[routes]]\nclass = \"status\"\ncluster = \"c\"\n",
+            endpoints(6)
+        );
+        let _daemon = daemon(at, &text)?;
+        let mut rows: Vec<[f64; 4]> = Vec::new();
+        for _ in 0..ROUNDS {
+            let before: u64 = counts.iter().map(|count| count.load(Ordering::Relaxed)).sum();
+            let over = Arc::new(AtomicBool::new(false));
+            let all = clients(at, 24, Duration::from_millis(20), "a", &over);
+            thread::sleep(SPAN);
+            over.store(true, Ordering::Relaxed);
+            let seen = joined(all);
+            let after: u64 = counts.iter().map(|count| count.load(Ordering::Relaxed)).sum();
+            let attempts = (after - before) as f64 / (seen.served + seen.refused) as f64;
+            rows.push([seen.quantile(0.5), seen.quantile(0.99), seen.quantile(0.999), attempts]);
+        }
+        let [p50, p99, p999, attempts] =
+            [0, 1, 2, 3].map(|at| median(rows.iter().map(|row| row[at]).collect()));
+        println!("{name:>28} {p50:>8.1} {p99:>8.1} {p999:>8.1} {attempts:>10.3}");
+    }
+    Ok(())
+}
+
+fn members() -> Result<(), Fault> {
+    println!("\nmembers at one cluster of 24 places; the calm ones: 20 clients, a request every 50 ms each");
+    println!(
+        "{:>36} {:>8} {:>8} {:>9} {:>9} {:>10}",
+        "", "p50 ms", "p99 ms", "served/s", "of alone", "p99 ratio"
+    );
+    let at = address(2, 19_211);
+    let text = format!(
+        "listen = \"{at}\"\ntenant-header = \"x-member\"\n[limits]\nsockets = 1024\n\
+         [tenants.calm]\nheader-values = \"calm\"\n\
+         [tenants.greedy]\nheader-values = \"greedy\"\nrate = \"400/s\"\nburst = 40\n\
+         [clusters.c]\nconcurrency = 24\nqueue = 200\n{}\n[[routes]]\ncluster = \"c\"\n",
+        endpoints(5)
+    );
+    let _daemon = daemon(at, &text)?;
+    let mut alone: Option<[f64; 2]> = None;
+    for (name, greedy, uploads) in [
+        ("alone", 0, 0),
+        ("beside one at ten times its rate", 80, 0),
+        ("beside 100 slow uploads of another", 0, 100),
+    ] {
+        let mut rows: Vec<[f64; 3]> = Vec::new();
+        for _ in 0..ROUNDS {
+            let over = Arc::new(AtomicBool::new(false));
+            let mut slow = Vec::new();
+            for _ in 0..uploads {
+                let mut stream = TcpStream::connect(at)?;
+                let head = "POST /up HTTP/1.1\r\nHost: h\r\nX-Member: greedy\r\nContent-Length: 60000\r\n\r\nxx";
+                stream.write_all(head.as_bytes())?;
+                slow.push(stream);
+            }
+            let calm = clients(at, 20, Duration::from_millis(50), "calm", &over);
+            let other = clients(at, greedy, Duration::from_millis(20), "greedy", &over);
+            thread::sleep(SPAN);
+            over.store(true, Ordering::Relaxed);
+            let seen = joined(calm);
+            drop((joined(other), slow));
+            rows.push([
+                seen.quantile(0.5),
+                seen.quantile(0.99),
+                seen.served as f64 / SPAN.as_secs_f64(),
+            ]);
+        }
+        let [p50, p99, served] =
+            [0, 1, 2].map(|at| median(rows.iter().map(|row| row[at]).collect()));
+        let [base_p99, base_served] = *alone.get_or_insert([p99, served]);
+        println!(
+            "{name:>36} {p50:>8.1} {p99:>8.1} {served:>9.0} {:>9.3} {:>10.2}",
+            served / base_served,
+            p99 / base_p99
+        );
+    }
+    Ok(())
+}
+
+fn main() -> Result<(), Fault> {
+    let usual = Duration::from_millis(4);
+    let mut counts = Vec::new();
+    for n in 0..6 {
+        let slow = if n == 5 { Duration::from_millis(120) } else { usual };
+        counts.push(serve(address(1, 19_200 + n), usual, slow, 4)?);
+    }
+    hedging(&counts)?;
+    members()
+}
--- a/crates/mintshelf/src/daemon.rs
+++ b/crates/mintshelf/src/daemon.rs
@@ -211,7 +211,7 @@
             }
         }
         if self.fixed != (file.limits.clone(), file.admin) {
-            eprintln!("mintshelf: limits and admin are in force from the next start on");
+            tracing::warn!("limits and admin are in force from the next start on");
         }
         state.file = Some(file);
         state.taken = Some(SystemTime::now());
@@ -242,7 +242,7 @@
                 }
                 other => {
                     other.into_iter().for_each(retire);
-                    self.start_pool(module, style)
+                    self.start_pool(name, module, style)
                 }
             };
             state.pools.insert(name.clone(), running);
@@ -250,7 +250,7 @@
         old.into_values().for_each(retire);
     }
 
-    fn start_pool(&self, module: Module, style: Style) -> Running {
+    fn start_pool(&self, name: &str, module: Module, style: Style) -> Running {
         let spec = Spec {
             settings: module.settings.clone(),
             names: Names::default(),
@@ -261,6 +261,7 @@
             return_ramp: Some(module.return_ramp),
             tries: module.tries.clone(),
             connections: module.connections,
+            name: Some(name.to_string()),
         };
         let driver = Driver::start(spec, self.connections.clone());
         driver.list(module.servers.clone());
@@ -275,10 +276,11 @@
         let count = &self.reloads[usize::from(result.is_err())];
         count.set(count.get() + 1);
         match result {
-            Ok(()) => eprintln!("mintshelf: {} is in force", self.path.display()),
+            Ok(()) => tracing::info!(file = %self.path.display(), "the file is in force"),
             Err(lines) => {
-                eprintln!("mintshelf: {} is refused, and nothing changes:", self.path.display());
-                lines.iter().for_each(|line| eprintln!("{line}"));
+                lines.iter().for_each(|line| tracing::error!("{line}"));
+                let (file, errors) = (self.path.display(), lines.len());
+                tracing::error!(%file, errors, "the file is refused, and nothing changes");
             }
         }
     }
--- a/crates/mintshelf/src/main.rs
+++ b/crates/mintshelf/src/main.rs
@@ -6,6 +6,7 @@
 mod daemon;
 mod demo;
 mod explain;
+mod log;
 mod platform;
 mod service;
 
@@ -39,6 +40,9 @@
         /// Read the file again whenever it changes
         #[arg(long)]
         watch: bool,
+        /// How lines of the log are written; MINTSHELF_LOG sets levels, as in info
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        log_format: Format,
     },
     /// Name every error in a file; exit code 0 for none, 1 for some, 2 if it can't be read
     Check {
@@ -60,6 +64,8 @@
         #[arg(short = 'H', long = "header")]
         headers: Vec<String>,
     },
+    /// Print the form of a file as a JSON schema, for editors
+    Schema,
     /// Start stand-in servers and a sidecar in front, and show what goes where
     Demo {
         /// End after this time; otherwise at Ctrl-C
@@ -73,9 +79,9 @@
 
 #[derive(Clone, Copy, ValueEnum)]
 enum Format {
-    /// A line for each error
+    /// A line for each
     Text,
-    /// One JSON array
+    /// JSON: an array, or for the log an object a line
     Json,
 }
 
@@ -97,7 +103,19 @@
 fn main() -> ExitCode {
     match Cli::parse().command {
         None => block_on(platform::run()),
-        Some(Command::Run { config, watch }) => block_on(service::run(config, watch)),
+        Some(Command::Run { config, watch, log_format }) => {
+            match log::start(matches!(log_format, Format::Json)) {
+                Ok(()) => block_on(service::run(config, watch)),
+                Err(what) => {
+                    eprintln!("mintshelf: {what}");
+                    ExitCode::from(UNUSABLE)
+                }
+            }
+        }
+        Some(Command::Schema) => {
+            println!("{:#}", mintshelf_config::schema::schema());
+            ExitCode::SUCCESS
+        }
         Some(Command::Check { file, format }) => check::run(&file, matches!(format, Format::Json)),
         Some(Command::Explain { file, method, url, headers }) => {
             explain::run(&file, &method, &url, &headers)
--- a/crates/mintshelf/src/platform.rs
+++ b/crates/mintshelf/src/platform.rs
@@ -55,6 +55,7 @@
         return_ramp: None,
         tries: Vec::new(),
         connections: [None; 2],
+        name: None,
         settings: settings.clone(),
         names: names.clone(),
         seed,
--- a/crates/mintshelf/src/service.rs
+++ b/crates/mintshelf/src/service.rs
@@ -34,7 +34,7 @@
         let listener = listen(address).map_err(|e| format!("admin {address}: {e}"))?;
         daemon.also(Rc::new(Admin { daemon: daemon.clone() }), listener);
     }
-    eprintln!("mintshelf: listens on {}", addresses.join(", "));
+    tracing::info!("listens on {}", addresses.join(", "));
     let reloads = async {
         while hung_up.recv().await.is_some() {
             daemon.reload();
@@ -56,7 +56,7 @@
         _ = terminated.recv() => {}
         _ = interrupted.recv() => {}
     }
-    eprintln!("mintshelf: ends");
+    tracing::info!("ends");
     daemon.end().await;
     Ok(())
 }
--- a/crates/mintshelf/tests/limits.rs
+++ b/crates/mintshelf/tests/limits.rs
@@ -259,3 +259,31 @@
     assert!(statuses.iter().all(|s| [200, 503].contains(s)));
     assert!(servers.iter().all(|s| *s.connections.lock().unwrap() == 3));
 }
+
+#[test]
+fn the_log_has_fields_and_a_bounded_rate() {
+    let server = server(&Arc::default());
+    let (at, admin) = (free_address(), free_address());
+    let text = file(at, admin, &[server.at], TENANTS, "");
+    let daemon = Daemon::start(PROGRAM, at, &text, &["--log-format", "json"]);
+    for _ in 0..300 {
+        daemon.ask(&of("a", "/")).unwrap();
+    }
+    daemon.reload(&text.replace("worth = 5", "worth = -5"));
+    let said = daemon.said();
+    let lines: Vec<serde_json::Value> = said
+        .lines()
+        .map(|line| serde_json::from_str(line).unwrap_or_else(|e| panic!("{line}: {e}")))
+        .collect();
+    let fields = |what: &str| -> Vec<&serde_json::Value> {
+        let fields = lines.iter().map(|line| &line["fields"]);
+        fields.filter(|fields| fields["message"].as_str().unwrap_or("").contains(what)).collect()
+    };
+    let limits = fields("a limit refused a request");
+    assert!(limits.iter().all(|f| f["tenant"] == "a" && f["limit"] == "tenant-rate"), "{limits:?}");
+    // Ten at once and ten for each second that the requests took.
+    assert!((10..200).contains(&limits.len()), "{}", limits.len());
+    let refused = fields("is refused");
+    assert!(refused[0]["file"].is_string() && refused[0]["errors"] == 1, "{refused:?}");
+    assert!(!fields("-5 is not between").is_empty());
+}
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -7,6 +7,7 @@
 use crate::endpoints::{Endpoints, ListSink};
 use crate::link::To;
 use crate::message::parse_report;
+use crate::notes::Notes;
 pub use crate::open::{Arrival, Message, Reply};
 use crate::open::{Attempt, Core, Taken};
 use crate::peers::Peers;
@@ -55,6 +56,8 @@
     recovery: Option<RefCell<Recovery>>,
     /// For each class; none on the platform.
     tries: Vec<RefCell<Tries>>,
+    /// The cluster's name, and which lines are written of its attempts.
+    notes: Option<(String, Notes)>,
     /// Fields of the load reports in answers.
     report_fields: Option<Vec<String>>,
 }
@@ -81,13 +84,15 @@
     pub tries: Vec<TryPlan>,
     /// Most connections to all servers, and to each.
     pub connections: [Option<u32>; 2],
+    /// The cluster's name in the log; absent where nothing is logged of single requests.
+    pub name: Option<String>,
 }
 
 impl Driver {
     /// Starts an instance of the decision module.
     pub fn start(spec: Spec, all: Rc<Connections>) -> Rc<Self> {
         let Spec { settings, names, seed, style, peers, discovery, .. } = spec;
-        let Spec { return_ramp, tries, connections, .. } = spec;
+        let Spec { return_ramp, tries, connections, name, .. } = spec;
         let clock = Clock::start();
         let connect_timeout = Duration::from_nanos(settings.connect_timeout);
         let idle_timeout = Duration::from_nanos(settings.idle_timeout);
@@ -125,6 +130,7 @@
             classes: settings.classes.clone(),
             recovery: recovery.map(RefCell::new),
             tries: tries.into_iter().map(|plan| Tries::new(plan, clock.now()).into()).collect(),
+            notes: name.map(|name| (name, Notes::new(&clock))),
             report_fields: (mode == ReportMode::Answers).then_some(fields),
         });
         driver.perform(&mut driver.core.borrow_mut(), actions);
@@ -439,6 +445,20 @@
         }
     }
 
+    /// Writes of an attempt that did not go well why it ended.
+    fn note(&self, attempt: u32, server: ServerId, outcome: Outcome, took: Nanos) {
+        let well = matches!(outcome, Outcome::Ok | Outcome::Rejected | Outcome::Cancelled);
+        let Some((cluster, notes)) = self.notes.as_ref().filter(|_| !well) else { return };
+        if !tracing::enabled!(tracing::Level::INFO) {
+            return;
+        }
+        let Some(left_out) = notes.may_write(&self.clock) else { return };
+        let endpoint = self.endpoints.address(server).map(|at| at.to_string());
+        let endpoint = endpoint.unwrap_or_default();
+        let (took_ms, try_number) = (took / 1_000_000, attempt + 1);
+        tracing::info!(%cluster, endpoint, try_number, ?outcome, took_ms, left_out, "a try ended");
+    }
+
     /// What half of the answers of a class take; 0 while that is not known.
     pub fn usual(&self, class: u32) -> Nanos {
         let now = self.clock.now();
@@ -478,6 +498,9 @@
                     tries.borrow_mut().answered(now, *took);
                 }
             }
+            if let Event::AttemptEnded { server, took, .. } = &event {
+                self.note(number, *server, outcome, *took);
+            }
             let end = End::of(outcome, in_time);
             if let Some((recovery, end)) = self.recovery.as_ref().zip(end) {
                 recovery.borrow_mut().pace.ended(now, end);
--- a/crates/proxy/src/gates.rs
+++ b/crates/proxy/src/gates.rs
@@ -1,6 +1,7 @@
 //! Where requests pass the limits of tenants, routes and clusters: what those decide, done.
 
 use crate::clock::Clock;
+use crate::notes::Notes;
 use crate::refusal::Refusal;
 use hyper::StatusCode;
 use mintshelf_balancer::api::Nanos;
@@ -30,11 +31,14 @@
     admission: RefCell<Admission>,
     waiters: RefCell<HashMap<Key, Waiter>>,
     clock: Clock,
+    notes: Notes,
 }
 
 impl Default for Gates {
     fn default() -> Self {
-        Gates { admission: RefCell::default(), waiters: RefCell::default(), clock: Clock::start() }
+        let clock = Clock::start();
+        let notes = Notes::new(&clock);
+        Gates { admission: RefCell::default(), waiters: RefCell::default(), clock, notes }
     }
 }
 
@@ -166,17 +170,29 @@
                         SECOND,
                     ),
                 };
+                self.note(&tenant, route, code);
                 Err(Refusal::new(StatusCode::TOO_MANY_REQUESTS, code, what).after(after))
             }
         }
     }
 
+    /// Writes which limit refused a request, and at which route or cluster.
+    fn note(&self, tenant: &str, at: &str, limit: &'static str) {
+        if !tracing::enabled!(tracing::Level::INFO) {
+            return;
+        }
+        if let Some(left_out) = self.notes.may_write(&self.clock) {
+            tracing::info!(tenant, at, limit, left_out, "a limit refused a request");
+        }
+    }
+
     /// Takes so many bytes for a tenant's body.
     pub fn fill(self: &Rc<Self>, tenant: &Rc<str>, bytes: u64) -> Result<Filled, Refusal> {
         if self.admission.borrow_mut().fill(tenant, bytes) {
             return Ok(Filled { gates: self.clone(), tenant: tenant.clone(), bytes });
         }
         let what = "its tenant's bodies take all the room that it has; it has not run";
+        self.note(tenant, "", "tenant-room");
         let refusal = Refusal::new(StatusCode::TOO_MANY_REQUESTS, "tenant-room", what);
         // The body is not read, so nothing can come behind it.
         Err(refusal.after(SECOND).last())
@@ -216,6 +232,7 @@
                     ("queue-late", "it waited too long to be answered in time; it has not run")
                 }
             };
+            self.note(&tenant, cluster, code);
             Refusal::new(StatusCode::SERVICE_UNAVAILABLE, code, what).after(advice().max(SECOND))
         })
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod limits;
 pub mod link;
 pub mod message;
+pub mod notes;
 pub mod open;
 pub mod peers;
 pub mod plain;
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -315,8 +315,9 @@
 
     /// Replaces the file, sends SIGHUP and waits until it says what came of it.
     pub fn reload(&self, text: &str) {
-        let told =
-            |said: &str| said.matches("is in force\n").count() + said.matches("is refused").count();
+        let told = |said: &str| {
+            said.matches("the file is in force").count() + said.matches("is refused").count()
+        };
         let before = told(&self.said());
         std::fs::write(&self.file, text).unwrap();
         self.signal("HUP");
