Share a gate's places without idling them; learn from copies that lost

A gate that kept each tenant's whole share idled places while others waited, and its sums cost 2 us a request with 64 tenants. A first copy that a second overtook taught nothing, so a slow endpoint kept its traffic.

A quarter of each active tenant's share is kept, sums are carried along. The module takes a cancelled attempt as at least that slow (it never occurs on the platform).

--- a/crates/balancer/src/decide/attempts.rs
+++ b/crates/balancer/src/decide/attempts.rs
@@ -196,6 +196,7 @@
                     self.learn(now, s, (class, cost, took), false);
                     self.record_failure(now, s, 0.5);
                 }
+                Outcome::Cancelled => self.learn(now, s, (class, cost, took), false),
                 o if o.failed() => self.record_failure(now, s, counts),
                 _ => {}
             }
@@ -248,8 +249,7 @@
         }
     }
 
-    /// Says nothing since an attempt was sent, while others do: it is stuck, and the
-    /// cluster not jammed. A jammed server still answers what came before.
+    /// Silent since a send while others answer: stuck; a jammed one answers what came before.
     fn silent(&self, s: usize, sent: Nanos) -> bool {
         self.set.silence_is_local && self.servers[s].heard < sent && self.ended_at > sent
     }
--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -1,7 +1,7 @@
 //! A bounded number of requests at one time, shared between tenants, and a bounded queue.
 //!
-//! Who is within its part of the places goes at once; what is free beyond that is anybody's,
-//! less what those who are active have not taken of theirs. Who has to wait does so in a queue
+//! A free place is anybody's, but for a few that are kept for those who are active and have
+//! not taken theirs: else long requests of one could hold them all. Who has to wait does so in a queue
 //! that is ordered by tenant (the one with the least for its share), then first tries before
 //! repeats, worth before age, the earlier deadline first. What is over the bound is refused at
 //! once, and the least of all that wait is what goes: not the one that came last.
@@ -11,8 +11,13 @@
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
-/// A tenant keeps its part for so long after it last asked.
+/// A tenant counts as active for so long after it last asked, and the idle are looked for this
+/// often.
 const ACTIVE: Nanos = 1_000_000_000;
+const SWEEP: Nanos = 100_000_000;
+/// Part of a tenant's share of the places that is kept for it. More would leave places idle
+/// while others wait; who waits is served next by share in any case.
+const KEPT: f64 = 0.25;
 
 /// What a gate is set to.
 #[derive(Debug, Clone, PartialEq, Default)]
@@ -88,6 +93,9 @@
     held: u32,
     queue: BTreeMap<Rank, Nanos>,
     seen: Nanos,
+    share: f64,
+    /// Places that are kept for it.
+    part: u32,
 }
 
 impl Member {
@@ -101,7 +109,11 @@
 pub struct Gate {
     set: GateSet,
     held: u32,
+    /// Those that are active.
     members: BTreeMap<Rc<str>, Member>,
+    /// Kept places that their owners have not taken.
+    kept: u32,
+    swept_at: Nanos,
     waiting: HashMap<Ticket, (Rc<str>, Rank)>,
     last: u64,
 }
@@ -121,6 +133,7 @@
     /// their place unless the queue is now too short for them.
     pub fn set(&mut self, now: Nanos, set: GateSet) -> Moves {
         self.set = set;
+        self.divide();
         let mut moves = Moves::default();
         while self.waiting.len() > self.set.queue as usize {
             let Some(ticket) = self.heaviest().and_then(|tenant| self.pop_last(&tenant)) else {
@@ -136,41 +149,54 @@
         self.set.shares.get(tenant).copied().unwrap_or(1.0).max(f64::MIN_POSITIVE)
     }
 
-    fn is_active(member: &Member, now: Nanos) -> bool {
-        member.load() > 0 || now.saturating_sub(member.seen) < ACTIVE
+    /// Divides the places between those that are active.
+    fn divide(&mut self) {
+        let shares = self.members.keys().map(|name| self.share(name)).collect::<Vec<_>>();
+        let all: f64 = shares.iter().sum();
+        self.kept = 0;
+        for (member, share) in self.members.values_mut().zip(shares) {
+            member.share = share;
+            member.part = (f64::from(self.set.most) * KEPT * share / all) as u32;
+            self.kept += member.part.saturating_sub(member.held);
+        }
     }
 
-    /// The places that are a tenant's own, given the shares of those that are active.
-    fn part(&self, tenant: &str, all: f64) -> u32 {
-        (f64::from(self.set.most) * self.share(tenant) / all) as u32
+    /// Notes that a tenant asks; forgets those that have not for long.
+    fn see(&mut self, now: Nanos, tenant: &Rc<str>) {
+        let known = self.members.get_mut(tenant).map(|member| member.seen = now).is_some();
+        if !known {
+            self.members.insert(tenant.clone(), Member { seen: now, ..Member::default() });
+        }
+        if !self.sweep(now) && !known {
+            self.divide();
+        }
     }
 
-    fn may_go(&self, now: Nanos, tenant: &str) -> bool {
-        let free = self.set.most.saturating_sub(self.held);
-        if free == 0 {
+    /// Forgets those that are idle, now and then; whether it did.
+    fn sweep(&mut self, now: Nanos) -> bool {
+        if now.saturating_sub(self.swept_at) < SWEEP {
             return false;
         }
-        let active = || self.members.iter().filter(|(_, m)| Self::is_active(m, now));
-        let all: f64 = active().map(|(name, _)| self.share(name)).sum();
-        let held = self.members.get(tenant).map_or(0, |member| member.held);
-        if held < self.part(tenant, all) {
-            return true;
-        }
-        let others = active().filter(|(name, _)| &***name != tenant);
-        let kept = others.map(|(name, m)| self.part(name, all).saturating_sub(m.held));
-        free > kept.sum()
+        self.swept_at = now;
+        self.members.retain(|_, m| m.load() > 0 || now.saturating_sub(m.seen) < ACTIVE);
+        self.divide();
+        true
+    }
+
+    fn may_go(&self, member: &Member) -> bool {
+        let free = self.set.most.saturating_sub(self.held);
+        free > 0 && (member.held < member.part || free > self.kept)
     }
 
     /// A request wants through.
     pub fn offer(&mut self, now: Nanos, offer: Offer) -> (Verdict, Moves) {
         let mut moves = Moves::default();
-        let member = self.members.entry(offer.tenant.clone()).or_default();
-        member.seen = now;
-        let first = member.queue.is_empty();
+        self.see(now, &offer.tenant);
         if now.saturating_add(offer.needs) >= offer.deadline {
             return (Verdict::Refused(Why::TooLate), moves);
         }
-        if first && self.may_go(now, &offer.tenant) {
+        let goes = |m: &Member| m.queue.is_empty() && self.may_go(m);
+        if self.members.get(&offer.tenant).is_some_and(goes) {
             self.enter(&offer.tenant);
             return (Verdict::Go, moves);
         }
@@ -197,8 +223,8 @@
     /// Whose load is largest for its share, of those with somebody waiting.
     fn heaviest(&self) -> Option<Rc<str>> {
         let waiting = self.members.iter().filter(|(_, member)| !member.queue.is_empty());
-        let weight = |name: &str, member: &Member| f64::from(member.load()) / self.share(name);
-        let heaviest = waiting.max_by(|a, b| weight(a.0, a.1).total_cmp(&weight(b.0, b.1)));
+        let weight = |member: &Member| f64::from(member.load()) / member.share;
+        let heaviest = waiting.max_by(|a, b| weight(a.1).total_cmp(&weight(b.1)));
         heaviest.map(|(name, _)| name.clone())
     }
 
@@ -223,19 +249,23 @@
     }
 
     fn enter(&mut self, tenant: &Rc<str>) {
-        self.held += 1;
-        self.members.entry(tenant.clone()).or_default().held += 1;
+        if let Some(member) = self.members.get_mut(tenant) {
+            self.kept -= u32::from(member.held < member.part);
+            member.held += 1;
+            self.held += 1;
+        }
     }
 
     /// One that went is over.
     pub fn done(&mut self, now: Nanos, tenant: &Rc<str>) -> Moves {
         if let Some(member) = self.members.get_mut(tenant).filter(|member| member.held > 0) {
             member.held -= 1;
+            self.kept += u32::from(member.held < member.part);
             self.held -= 1;
         }
         let mut moves = Moves::default();
         self.grant(now, &mut moves);
-        self.members.retain(|_, member| Self::is_active(member, now));
+        self.sweep(now);
         moves
     }
 
@@ -251,10 +281,10 @@
     /// Lets those go whose turn it is.
     fn grant(&mut self, now: Nanos, moves: &mut Moves) {
         while self.held < self.set.most && !self.waiting.is_empty() {
-            let able = self.members.iter().filter(|(_, member)| !member.queue.is_empty());
-            let able = able.filter(|(name, _)| self.may_go(now, name));
-            let weight = |name: &str, m: &Member| f64::from(m.held + 1) / self.share(name);
-            let next = able.min_by(|a, b| weight(a.0, a.1).total_cmp(&weight(b.0, b.1)));
+            let waiting = self.members.iter().filter(|(_, member)| !member.queue.is_empty());
+            let able = waiting.filter(|(_, member)| self.may_go(member));
+            let weight = |m: &Member| f64::from(m.held + 1) / m.share;
+            let next = able.min_by(|a, b| weight(a.1).total_cmp(&weight(b.1)));
             let Some(tenant) = next.map(|(name, _)| name.clone()) else { return };
             let member = self.members.get_mut(&tenant);
             let Some((rank, needs)) = member.and_then(|m| m.queue.pop_first()) else { return };
