--- a/crates/config/src/file/routes.rs
+++ b/crates/config/src/file/routes.rs
@@ -197,7 +197,7 @@
         (_, Some(respond)) => Then::Respond(respond),
         _ => Then::Forward(forward),
     };
-    let only = ["sticky", "rewrite-prefix", "request-headers", "response-headers"];
+    let only = ["sticky", "rewrite-prefix", "request-headers", "response-headers", "limits"];
     if !matches!(then, Then::Forward(_)) {
         for key in only.into_iter().filter(|key| table.has(key)) {
             let what = "has no effect on a route that answers by itself";
--- a/crates/config/tests/limits.rs
+++ b/crates/config/tests/limits.rs
@@ -104,6 +104,12 @@
     assert!(errors(&text)[0].contains("no header names tenants"), "{:?}", errors(&text));
     let queue = LAB.replacen("zone = \"charguia\"", "queue = 3\nzone = \"charguia\"", 1);
     assert!(errors(&queue)[0].contains("has no effect without a limit"));
+    let own = LAB.replacen(
+        "name = \"elsewhere\"",
+        "name = \"elsewhere\"\nlimits = { concurrency = 3 }",
+        1,
+    );
+    assert!(errors(&own)[0].contains("has no effect on a route that answers by itself"));
     let twice = LAB
         .replacen("name = \"flash\"", "name = \"queue\"\nlimits = { concurrency = 3 }", 1)
         .replacen("name = \"queue\"", "name = \"queue\"\nlimits = { concurrency = 3 }", 1);
--- a/crates/config/tests/tries.rs
+++ b/crates/config/tests/tries.rs
@@ -1,9 +1,11 @@
 //! Files that could break a rule by their attempts: each refused, at its place, with the
 //! schedule that breaks it.
 
+use mintshelf_balancer::api::Effect;
 use mintshelf_config::file;
-use mintshelf_config::module::module;
+use mintshelf_config::module::{module, plan};
 use mintshelf_limits::schedule::PerTry;
+use proptest::prelude::*;
 
 const LAB: &str = include_str!("../../../deploy/lab.toml");
 
@@ -266,3 +268,64 @@
     assert_eq!(module.classes[policy].deadline, 2_000_000_000);
     assert!(!module.classes.contains_key("run-logs"), "nothing goes by it");
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 600, failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(29), ..ProptestConfig::default() })]
+
+    /// Of random files those that are taken lay out nothing that breaks a rule, and those that
+    /// are refused for a schedule have one that does.
+    #[test]
+    fn a_file_is_taken_if_and_only_if_its_schedules_keep_the_rules(
+        effect in prop::sample::select(vec!["safe", "keyed", "unsafe"]),
+        (deadline, window, connect) in (100u32..30_000, 1_000u32..30_000, 1u32..3_000),
+        per_try in prop::option::of(50u32..20_000),
+        attempts in prop::option::of(1u32..=6),
+        (first, most) in (0u32..3_000, 0u32..6_000),
+        retry_on in prop::option::of(prop::sample::select(vec!["never-ran", "may-have-run"])),
+        (hedged, copies, over) in (any::<bool>(), any::<bool>(), any::<bool>()),
+    ) {
+        let mut class = format!("effect = \"{effect}\"\naim = \"100ms\"\ndeadline = \"{deadline}ms\"\n");
+        if effect == "keyed" {
+            class += &format!("window = \"{window}ms\"\n");
+        }
+        let mut tries = format!("backoff = {{ first = \"{first}ms\", most = \"{}ms\" }}", most.max(first));
+        if let Some(per_try) = per_try {
+            tries += &format!(", per-try-timeout = \"{per_try}ms\"");
+        }
+        if let Some(attempts) = attempts {
+            tries += &format!(", max-attempts = {attempts}");
+        }
+        if let Some(retry_on) = retry_on {
+            tries += &format!(", retry-on = \"{retry_on}\"");
+        }
+        if hedged {
+            tries += ", hedge = { after = \"50ms\" }";
+        }
+        // The same settings by the class, or by the route.
+        let (by_class, by_route) = match over {
+            true => (String::new(), format!("overrides = {{ {tries} }}\n")),
+            false => (tries.replace(", per", "\nper").replace(", max", "\nmax").replace(", retry", "\nretry").replace(", hedge", "\nhedge"), String::new()),
+        };
+        let text = format!(
+            "listen = \"127.0.0.1:1\"\n[classes.c]\n{class}{by_class}\n[clusters.a]\nendpoints = \"127.0.0.1:2\"\n\
+             connect-timeout = \"{connect}ms\"\nsecond-copies = {copies}\n[[routes]]\nclass = \"c\"\ncluster = \"a\"\n{by_route}"
+        );
+        let read = file::read("f", text.as_bytes());
+        if let Ok(file) = read {
+            let policy = &file.classes[&file.routes[0].policy];
+            let plan = plan(policy, policy.effect, &file.clusters["a"]);
+            prop_assert!(plan.breaches().is_empty(), "{text}");
+            let module = module(&file, "a", &file.clusters["a"]);
+            for (tries, laid) in module.tries.iter().zip(&module.settings.classes) {
+                let safe = laid.effect == Effect::Safe;
+                prop_assert!(tries.hedge.is_none() || (safe && copies), "{text}");
+                prop_assert_eq!(tries.attempts, laid.max_attempts);
+                prop_assert!(laid.max_attempts <= module.settings.max_attempts);
+            }
+        } else {
+            let errors = errors(&text);
+            prop_assert!(errors.iter().all(|e| e.contains("class 'c' at cluster 'a'")), "{errors:?}");
+        }
+    }
+}
--- a/crates/mintshelf/tests/commands.rs
+++ b/crates/mintshelf/tests/commands.rs
@@ -65,6 +65,15 @@
     ] {
         assert!(text.contains(part), "{part} in {text}");
     }
+    // The schedule, as a time line.
+    for part in ["try 1 [|=", "try 3 [", "a further try only if the earlier ones are known not"] {
+        assert!(text.contains(part), "{part} in {text}");
+    }
+    let status = run(&["explain", &lab, "GET", "http://bench/devices/7"]).1;
+    assert!(status.contains("per-try-timeout = adaptive, 200 ms to 400 ms"), "{status}");
+    assert!(status.contains("try 2 [") && status.contains("starts by 600 ms"), "{status}");
+    let schema: serde_json::Value = serde_json::from_str(&run(&["schema"]).1).unwrap();
+    assert!(schema["properties"]["clusters"].is_object(), "{schema}");
     let keyed =
         |more: &[&str]| run(&[&["explain", &lab, "POST", "http://bench/runs"], more].concat()).1;
     assert!(keyed(&["-H", "Idempotency-Key: k"]).contains("effect keyed"));
