Refuse second copies where nothing may follow what may have run

A random file showed that hedge beside retry-on = "never-ran" was taken and had no effect. It is an error now; and only what could run twice is told to break a rule.

--- a/crates/config/src/file/tries.rs
+++ b/crates/config/src/file/tries.rs
@@ -202,7 +202,7 @@
                     breach.sentence(&plan)
                 );
                 if told.insert((span.start, breach.setting())) {
-                    let rule = if breach.twice() { BrokenRule::Twice } else { BrokenRule::Lost };
+                    let rule = breach.twice().then_some(BrokenRule::Twice);
                     top.reader.breaks(&span, &field, what, breach.mend(), rule);
                 }
             }
--- a/crates/limits/src/schedule.rs
+++ b/crates/limits/src/schedule.rs
@@ -103,6 +103,8 @@
     CopyNotSafe(Effect),
     /// A keyed one, and to servers that do not know each other's keys.
     CopyCrossesGroup,
+    /// Nothing may follow what may have run, and a copy goes beside just that.
+    CopyNeverRan,
     /// The cluster does not allow two attempts out.
     CopyNotAllowed,
     /// A keyed request's further attempt could reach a server after its window.
@@ -270,6 +272,9 @@
         if self.hedged {
             match self.effect {
                 Effect::Keyed if !self.one_group => breaches.push(Breach::CopyCrossesGroup),
+                Effect::Safe if self.retry_on == RetryOn::NeverRan => {
+                    breaches.push(Breach::CopyNeverRan)
+                }
                 Effect::Safe => {}
                 effect => breaches.push(Breach::CopyNotSafe(effect)),
             }
@@ -345,6 +350,7 @@
             Breach::TryOverWhole
                 | Breach::CannotFit { .. }
                 | Breach::PointlessTry
+                | Breach::CopyNeverRan
                 | Breach::CopyNotAllowed
         )
     }
@@ -353,7 +359,10 @@
     pub fn setting(&self) -> &'static str {
         match self {
             Breach::UnsafeRetry => "retry-on",
-            Breach::CopyNotSafe(_) | Breach::CopyCrossesGroup | Breach::CopyNotAllowed => "hedge",
+            Breach::CopyNotSafe(_)
+            | Breach::CopyCrossesGroup
+            | Breach::CopyNeverRan
+            | Breach::CopyNotAllowed => "hedge",
             Breach::AfterWindow { .. } => "window",
             Breach::ClientAfterWindow { .. } => "client-retries",
             Breach::TryOverWhole | Breach::PointlessTry => "per-try-timeout",
@@ -367,6 +376,7 @@
             Breach::UnsafeRetry => "write retry-on = \"never-ran\", or leave it out",
             Breach::CopyNotSafe(_) => "remove hedge from this class and from what it inherits",
             Breach::CopyCrossesGroup => "remove hedge: second copies are for safe classes",
+            Breach::CopyNeverRan => "remove hedge, or write retry-on = \"may-have-run\"",
             Breach::CopyNotAllowed => "write second-copies = true in the cluster, or remove hedge",
             Breach::AfterWindow { .. } => {
                 "shorten per-try-timeout, backoff or the cluster's connect-timeout, or lower \
@@ -396,6 +406,9 @@
             Breach::CopyCrossesGroup => {
                 "a second copy could go to an endpoint outside the first one's dedup group".into()
             }
+            Breach::CopyNeverRan => {
+                "a second copy goes beside an attempt that may run, which retry-on forbids".into()
+            }
             Breach::CopyNotAllowed => {
                 "the cluster does not allow two attempts of one request at a time".into()
             }
