One backoff bound, one hold, one span reader, one outcome for each attempt

A second reading found the checker with its own copies of the module's backoff, hold and tick, two flags for what an attempt's outcome says, three readers of a span, two copies of a test's reader of figures, two clock reads a request for limits that are not set, and keys noted at every read of a file for a test alone.

Each has one place now; no behaviour changes and no assertion does.

--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -52,16 +52,15 @@
     pub late_worth: f64,
     /// The most attempts of one request, where that is less than the deployment's.
     pub max_attempts: u32,
-    /// A further attempt waits up to the first span, doubled each time, never over the second.
+    /// Waits before further attempts, as [`backoff_bound`] has them.
     pub backoff: [Nanos; 2],
 }
 
-impl Class {
-    /// Longest wait before a further attempt when so many have been made.
-    pub fn backoff_bound(&self, made: usize) -> Nanos {
-        let doubled = 1u64 << made.saturating_sub(1).min(32);
-        self.backoff[0].saturating_mul(doubled).min(self.backoff[1])
-    }
+/// Longest wait before a further attempt when so many have been made: up to the first span,
+/// doubled each time, never over the second.
+pub fn backoff_bound(backoff: [Nanos; 2], made: usize) -> Nanos {
+    let doubled = 1u64 << made.saturating_sub(1).min(32);
+    backoff[0].saturating_mul(doubled).min(backoff[1])
 }
 
 /// A tenant's allowance.
--- a/crates/balancer/src/decide/attempts.rs
+++ b/crates/balancer/src/decide/attempts.rs
@@ -3,9 +3,9 @@
 use super::*;
 
 /// A request without a server is looked at again after this.
-const HOLD_STEP: Nanos = 40 * MS;
+pub const HOLD_STEP: Nanos = 40 * MS;
 /// Longest hold, as a fraction of the class's aim.
-const HOLD_SHARE: f64 = 0.5;
+pub const HOLD_SHARE: f64 = 0.5;
 /// An attempt is overdue, and counts as congested, past this fraction of its aim.
 const CONGESTED_AT: f64 = 0.6;
 /// Nor before this many times what its known work usually takes; nor what the
@@ -234,7 +234,7 @@
         let Some(record) = request.attempts.get_mut(attempt).filter(|a| a.out()) else { return };
         self.line_stale = true;
         let Some(&s) = self.index.get(&record.server) else { return };
-        let (server, class) = (&mut self.servers[s], request.class);
+        let (server, class, sent) = (&mut self.servers[s], request.class, record.sent);
         // Danger: a fault of one class would take the server from all. If what was sent later
         // is answered, it is no queue; a lone heavy request costs the class for a while.
         if server.answered > record.sent + self.set.classes[class].aim / 4 {
@@ -243,7 +243,6 @@
             return;
         }
         (record.overdue, server.overdue) = (true, server.overdue + 1);
-        let sent = record.sent;
         if !self.silent(s, sent) {
             self.note_congestion(now, 1.0);
         }
@@ -258,7 +257,7 @@
     /// where it might outlast the request.
     fn backoff(&mut self, now: Nanos, id: &RequestId) -> Nanos {
         let Some(r) = self.requests.get(id) else { return 0 };
-        let bound = self.set.classes[r.class].backoff_bound(r.attempts.len());
+        let bound = backoff_bound(self.set.classes[r.class].backoff, r.attempts.len());
         let part = if bound > 0 && now + bound < r.deadline { self.rng.draw() } else { 0.0 };
         (part * bound as f64) as Nanos
     }
--- a/crates/balancer/src/decide/mod.rs
+++ b/crates/balancer/src/decide/mod.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 
 mod admission;
-mod attempts;
+pub mod attempts;
 mod cold;
 mod discovery;
 mod health;
--- a/crates/config/src/file/mod.rs
+++ b/crates/config/src/file/mod.rs
@@ -83,7 +83,7 @@
 /// is held to.
 pub fn known_keys(text: &str) -> BTreeMap<String, BTreeSet<&'static str>> {
     let (table, _) = toml::de::DeTable::parse_recoverable(text);
-    let reader = Reader::new("", text);
+    let reader = Reader::new("", text).with_keys();
     let top = Table::new(&reader, "", 0..0, table.get_ref());
     top_level(&top, 0);
     top.finish();
--- a/crates/config/src/file/reader.rs
+++ b/crates/config/src/file/reader.rs
@@ -19,14 +19,24 @@
         .max_by(|(_, a), (_, b)| a.total_cmp(b))
 }
 
+/// Reads a span of time with its unit, within bounds.
+pub fn span(text: &str, bounds: &RangeInclusive<Duration>) -> Result<Duration, String> {
+    let span = humantime::parse_duration(text).map_err(|e| e.to_string())?;
+    if bounds.contains(&span) {
+        return Ok(span);
+    }
+    let [least, most] = [bounds.start(), bounds.end()].map(|d| humantime::format_duration(*d));
+    Err(format!("is not between {least} and {most}"))
+}
+
 /// A file that is being read.
 pub struct Reader<'a> {
     name: &'a str,
     places: Places<'a>,
     problems: RefCell<Vec<(usize, Problem)>>,
     stated: RefCell<BTreeMap<String, Range<usize>>>,
-    /// The keys that were asked for in each table.
-    known: RefCell<Known>,
+    /// The keys that were asked for in each table, where that is wanted.
+    known: Option<RefCell<Known>>,
 }
 
 /// Keys by table.
@@ -39,7 +49,7 @@
             places: Places::new(text),
             problems: RefCell::default(),
             stated: RefCell::default(),
-            known: RefCell::default(),
+            known: None,
         }
     }
 
@@ -78,9 +88,14 @@
         self.stated.borrow_mut().insert(field.to_string(), span.clone());
     }
 
-    /// The keys that were asked for.
+    /// Notes the keys that are asked for as well.
+    pub fn with_keys(self) -> Self {
+        Reader { known: Some(RefCell::default()), ..self }
+    }
+
+    /// The keys that were asked for, if they were noted.
     pub fn known(self) -> Known {
-        self.known.into_inner()
+        self.known.map(RefCell::into_inner).unwrap_or_default()
     }
 
     /// Where a field stands that was stated; else the file's beginning.
@@ -217,16 +232,7 @@
         default: Duration,
         bounds: RangeInclusive<Duration>,
     ) -> At<Duration> {
-        let read = |text: &str| {
-            humantime::parse_duration(text).map_err(|e| e.to_string()).and_then(|span| {
-                if bounds.contains(&span) {
-                    return Ok(span);
-                }
-                let [least, most] =
-                    [bounds.start(), bounds.end()].map(|d| humantime::format_duration(*d));
-                Err(format!("is not between {least} and {most}"))
-            })
-        };
+        let read = |text: &str| span(text, &bounds);
         let mend = format!("write a span with its unit, as in {key} = \"400ms\" or \"1.5s\"");
         self.or(key, self.parsed(key, &mend, read), default)
     }
@@ -399,7 +405,9 @@
     /// Notes every key that nobody asked for, with the known one that it is most like.
     pub fn finish(self) {
         let asked = self.asked.borrow();
-        self.reader.known.borrow_mut().insert(self.field.clone(), asked.clone());
+        if let Some(known) = &self.reader.known {
+            known.borrow_mut().insert(self.field.clone(), asked.clone());
+        }
         for (key, _) in self.table.iter() {
             let name: &str = key.get_ref();
             if asked.contains(name) {
--- a/crates/config/src/file/tries.rs
+++ b/crates/config/src/file/tries.rs
@@ -1,10 +1,10 @@
 //! What the attempts of a class or a route may do, and whether that keeps the rules.
 
-use super::reader::{At, Table};
+use super::reader::{span, At, Table};
 use super::routes::Read;
 use super::{ms, Span, EVER};
 use crate::model::{Class, Cluster, Route, Then, Tries};
-use crate::module::{nanos, plan};
+use crate::module::{nanos, plan, severity};
 use crate::problem::BrokenRule;
 use mintshelf_balancer::api::Effect;
 use mintshelf_limits::schedule::{Breach, DedupGroup, PerTry, RetryOn};
@@ -70,11 +70,9 @@
         stated("retry-on", &at.span, &at.field);
         tries.retry_on = Some(at.value);
     }
-    if table.has("hedge") {
-        if let Some(at) = hedge(table) {
-            stated("hedge", &at.span, &at.field);
-            tries.hedge = Some(at.value);
-        }
+    if let Some(at) = hedge(table) {
+        stated("hedge", &at.span, &at.field);
+        tries.hedge = Some(at.value);
     }
     if table.has("client-retries") {
         let at = table.whole("client-retries", 0, 0..=CLIENT_RETRIES_MAX);
@@ -99,11 +97,7 @@
     table.parsed("per-try-timeout", mend, |text| match text {
         "adaptive" => Ok(PerTry::Adaptive),
         "none" => Ok(PerTry::Whole),
-        _ => match humantime::parse_duration(text) {
-            Ok(span) if (ms(1)..=EVER).contains(&span) => Ok(PerTry::Fixed(nanos(span))),
-            Ok(_) => Err("is not between 1ms and 1day".into()),
-            Err(e) => Err(e.to_string()),
-        },
+        _ => span(text, &(ms(1)..=EVER)).map(|span| PerTry::Fixed(nanos(span))),
     })
 }
 
@@ -130,11 +124,7 @@
     let mend = "write a span as in \"30ms\", or \"p95\"";
     let after = inner.parsed("after", mend, |text| match text {
         "p95" => Ok(CopyAfter::P95),
-        _ => match humantime::parse_duration(text) {
-            Ok(span) if (ms(1)..=EVER).contains(&span) => Ok(CopyAfter::Span(nanos(span))),
-            Ok(_) => Err("is not between 1ms and 1day".into()),
-            Err(e) => Err(e.to_string()),
-        },
+        _ => span(text, &(ms(1)..=EVER)).map(|span| CopyAfter::Span(nanos(span))),
     });
     if !inner.has("after") {
         inner.reader.wrong(&inner.span, &inner.field, "does not say when a copy goes", mend);
@@ -213,13 +203,9 @@
     carved(top, routes, classes);
 }
 
-fn grave(effect: Effect) -> usize {
-    crate::module::severity(effect)
-}
-
 /// Danger: a route that makes a class's requests milder has them sent again.
 fn milder(top: &Table, read: &Read, class: &Class) {
-    let Some(effect) = read.route.effect.filter(|e| grave(*e) < grave(class.effect)) else {
+    let Some(effect) = read.route.effect.filter(|e| severity(*e) < severity(class.effect)) else {
         return;
     };
     let what = format!(
@@ -279,7 +265,7 @@
         for (a, b) in places.iter().flat_map(|a| places.iter().map(move |b| (*a, *b))) {
             let (grave_one, milder_one) = (&routes[a], &routes[b]);
             let effects = effect(grave_one).zip(effect(milder_one));
-            let Some((graver, mild)) = effects.filter(|(x, y)| grave(*x) > grave(*y)) else {
+            let Some((graver, mild)) = effects.filter(|(x, y)| severity(*x) > severity(*y)) else {
                 continue;
             };
             let wins =
--- a/crates/config/src/module.rs
+++ b/crates/config/src/module.rs
@@ -105,6 +105,7 @@
         retry_on: tries.retry_on.unwrap_or(follows),
         hedged: tries.hedge.flatten().is_some(),
         two_out: cluster.second_copies,
+        tick: TICK,
         advice: if effect == Effect::Keyed { advice.min(window / ADVICE_PART) } else { advice },
         client_retries: tries.client_retries.unwrap_or(0),
     };
--- a/crates/limits/src/schedule.rs
+++ b/crates/limits/src/schedule.rs
@@ -4,16 +4,11 @@
 //! each pause is as long as it may be, and the first attempt may have run. Against this the
 //! deadline, the dedup window and the dedup group are held.
 
-use mintshelf_balancer::api::{Effect, Nanos};
+use mintshelf_balancer::api::{backoff_bound, Effect, Nanos};
+use mintshelf_balancer::decide::attempts::{HOLD_SHARE, HOLD_STEP};
 use std::fmt;
 use std::time::Duration;
 
-/// How long the decision module may hold a request for want of a server, as a part of its aim,
-/// and how often it looks again.
-const HOLD_PART: f64 = 0.5;
-const HOLD_STEP: Nanos = 40_000_000;
-/// The module takes a window to end so much earlier.
-const TICK: Nanos = 5_000_000;
 /// An adaptive time-out is no shorter than this part of the aim: a second try can then still
 /// be answered within the aim.
 const ADAPTIVE_FLOOR: f64 = 0.5;
@@ -76,6 +71,8 @@
     pub hedged: bool,
     /// Whether the cluster allows two attempts of one request at one time.
     pub two_out: bool,
+    /// The module takes a window to end so much earlier.
+    pub tick: Nanos,
     /// The longest advice on when to come back.
     pub advice: Nanos,
     /// How often clients send a request again by themselves, with the same key, after its
@@ -181,8 +178,7 @@
 
     /// The longest pause after so many attempts.
     fn pause(&self, made: u32) -> Nanos {
-        let doubled = 1u64 << made.saturating_sub(1).min(32);
-        self.backoff[0].saturating_mul(doubled).min(self.backoff[1])
+        backoff_bound(self.backoff, made as usize)
     }
 
     /// The time that one attempt before the last may take, its connection included.
@@ -197,7 +193,7 @@
 
     /// Each attempt in the worst case, the first at 0. Those that can't start are left out.
     pub fn steps(&self) -> Vec<Step> {
-        let hold = (self.aim as f64 * HOLD_PART) as Nanos;
+        let hold = (self.aim as f64 * HOLD_SHARE) as Nanos;
         let mut latest: Nanos = 0;
         let mut steps = Vec::new();
         for number in 1..=self.attempts {
@@ -302,7 +298,7 @@
     }
 
     fn window_breaches(&self, breaches: &mut Vec<Breach>) {
-        let until = self.window.saturating_sub(TICK);
+        let until = self.window.saturating_sub(self.tick);
         if until == 0 {
             // Without a window it is not keyed, which is told elsewhere.
             return;
--- a/crates/limits/tests/schedule.rs
+++ b/crates/limits/tests/schedule.rs
@@ -23,6 +23,7 @@
         retry_on: RetryOn::MayHaveRun,
         hedged: false,
         two_out: false,
+        tick: 5 * MS,
         advice: 5 * S,
         client_retries: 0,
     }
--- a/crates/mintshelf/src/daemon.rs
+++ b/crates/mintshelf/src/daemon.rs
@@ -174,9 +174,9 @@
         }
         let set = admission(&file);
         self.gates.set(&set);
-        let limits = (!set.is_empty()).then(|| (set, tenants(&file).map(Rc::new)));
+        let tenants = tenants(&file).map(Rc::new);
         for (listener, routes, table) in tables {
-            let limited = limits.as_ref().map(|(_, tenants)| Limited {
+            let limited = (!set.is_empty()).then(|| Limited {
                 gates: self.gates.clone(),
                 tenants: tenants.clone(),
                 tenant_header: file.tenant_header.clone(),
--- a/crates/mintshelf/tests/limits.rs
+++ b/crates/mintshelf/tests/limits.rs
@@ -56,13 +56,6 @@
     (Daemon::start(PROGRAM, at, &file(at, admin, servers, more, cluster), &[]), admin)
 }
 
-fn figure(admin: SocketAddr, name: &str) -> f64 {
-    let got = ask(admin, &get("/-/metrics")).unwrap();
-    let text = String::from_utf8_lossy(&got.body).into_owned();
-    let lines = text.lines().filter(|line| line.starts_with(name));
-    lines.map(|line| line.rsplit(' ').next().unwrap().parse::<f64>().unwrap()).sum()
-}
-
 fn code(got: &Message) -> String {
     let text = String::from_utf8_lossy(&got.body).into_owned();
     let code = text.split("\"code\":\"").nth(1).and_then(|rest| rest.split('"').next());
--- a/crates/mintshelf/tests/tries.rs
+++ b/crates/mintshelf/tests/tries.rs
@@ -41,14 +41,6 @@
     format!("endpoints = [{}]", all.join(", "))
 }
 
-/// Figures of the daemon whose name begins so, added up.
-fn figure(admin: SocketAddr, name: &str) -> f64 {
-    let got = ask(admin, &get("/-/metrics")).unwrap();
-    let text = String::from_utf8_lossy(&got.body).into_owned();
-    let lines = text.lines().filter(|line| line.starts_with(name));
-    lines.map(|line| line.rsplit(' ').next().unwrap().parse::<f64>().unwrap()).sum()
-}
-
 /// A file with a class, a cluster of these nodes, and a route that leads from one to the other.
 fn file(
     at: SocketAddr,
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -372,10 +372,9 @@
         let number = taken.attempts.len() as u32;
         let cancel = Rc::new(Cancel::default());
         // Two copies at one server would wait in the same queue.
-        let beside = taken.attempts.iter().any(|a| !a.over && a.server == server);
+        let beside = taken.attempts.iter().any(|a| a.out() && a.server == server);
         let send_by = self.send_by(taken);
-        let (never_ran, over) = (false, false);
-        let attempt = Attempt { server, sent: now, cancel: cancel.clone(), never_ran, over };
+        let attempt = Attempt { server, sent: now, cancel: cancel.clone(), outcome: None };
         taken.attempts.push(attempt);
         taken.out += 1;
         let until = match timeout_at {
@@ -424,8 +423,8 @@
     /// decides when it starts; its connection takes time.
     fn send_by(&self, taken: &Taken) -> Option<Nanos> {
         let window = self.tries.get(taken.class)?.borrow().plan().window;
-        let first = taken.attempts.iter().find(|a| !a.never_ran)?;
-        (window > 0).then(|| first.sent.saturating_add(window))
+        let ran_at = taken.ran_at()?;
+        (window > 0).then(|| ran_at.saturating_add(window))
     }
 
     /// Whether an attempt whose own time is up is to end now; else when to look again.
--- a/crates/proxy/src/gates.rs
+++ b/crates/proxy/src/gates.rs
@@ -199,20 +199,20 @@
     }
 
     /// Waits for a place at a cluster: until there is one, or it is refused, which is at once
-    /// when it can't be answered in time any more. None where the cluster has no limit.
-    /// `advice` tells when to come back.
+    /// when it can't be answered in time any more. No place where the cluster has no limit.
+    /// Back comes what is left of its patience too; `advice` tells when to come back.
     pub async fn pass(
         self: &Rc<Self>,
         cluster: &Rc<str>,
         patience: Nanos,
         offer: Offer,
         advice: impl Fn() -> Nanos,
-    ) -> Result<Option<Through>, Refusal> {
+    ) -> Result<(Option<Through>, Nanos), Refusal> {
         let now = self.clock.now();
         let (tenant, needs) = (offer.tenant.clone(), offer.needs);
         let offer = Offer { deadline: now.saturating_add(patience), ..offer };
         let offered = self.admission.borrow_mut().offer(now, cluster, offer);
-        let Some((verdict, moves)) = offered else { return Ok(None) };
+        let Some((verdict, moves)) = offered else { return Ok((None, patience)) };
         self.carry(cluster, moves);
         let end = match verdict {
             Verdict::Go => Ok(()),
@@ -225,7 +225,8 @@
                 timeout_at(until, waiting.end()).await.unwrap_or(Err(Why::TooLate))
             }
         };
-        end.map(|()| Some(self.through(cluster, &tenant))).map_err(|why| {
+        let left = || patience.saturating_sub(self.clock.now().saturating_sub(now)).max(1);
+        end.map(|()| (Some(self.through(cluster, &tenant)), left())).map_err(|why| {
             let (code, what) = match why {
                 Why::Full => ("queue-full", "too many wait for the cluster; it has not run"),
                 Why::TooLate => {
--- a/crates/proxy/src/open.rs
+++ b/crates/proxy/src/open.rs
@@ -75,14 +75,32 @@
     pub(crate) timed_out: bool,
 }
 
+impl Taken {
+    /// When the first attempt went that may have run, if any.
+    pub(crate) fn ran_at(&self) -> Option<Nanos> {
+        self.attempts.iter().find(|a| a.may_have_run()).map(|a| a.sent)
+    }
+}
+
 /// One of its attempts.
 pub(crate) struct Attempt {
     pub(crate) server: ServerId,
     pub(crate) sent: Nanos,
     pub(crate) cancel: Rc<Cancel>,
-    /// It has ended, and is known not to have run.
-    pub(crate) never_ran: bool,
-    pub(crate) over: bool,
+    /// Absent while it is out.
+    pub(crate) outcome: Option<Outcome>,
+}
+
+impl Attempt {
+    /// Whether it has not ended.
+    pub(crate) fn out(&self) -> bool {
+        self.outcome.is_none()
+    }
+
+    /// Whether it may have had its effect.
+    pub(crate) fn may_have_run(&self) -> bool {
+        !self.outcome.is_some_and(Outcome::never_ran)
+    }
 }
 
 /// The decision module with all that is open, on one thread.
@@ -102,8 +120,7 @@
 impl Core {
     /// Refuses a request, and tells what is known of its attempts.
     pub(crate) fn refuse(&mut self, id: &RequestId, after: Nanos) -> Option<Reply> {
-        let first = |taken: &Taken| taken.attempts.iter().find(|a| !a.never_ran).map(|a| a.sent);
-        let ran_at = self.taken.get(id).and_then(first);
+        let ran_at = self.taken.get(id).and_then(Taken::ran_at);
         self.conclude(id, Reply::Refused { after, ran_at })
     }
 
@@ -120,7 +137,7 @@
         let Some(client) = taken.reply.take() else { return Some(reply) };
         client.reply(reply);
         // A copy that is still out has lost.
-        taken.attempts.iter().filter(|a| !a.over).for_each(|a| a.cancel.cancel());
+        taken.attempts.iter().filter(|a| a.out()).for_each(|a| a.cancel.cancel());
         self.forget(id);
         None
     }
@@ -147,8 +164,8 @@
         now: Nanos,
     ) -> Option<(Event, bool)> {
         let taken = self.taken.get_mut(id)?;
-        let attempt = taken.attempts.get_mut(number as usize).filter(|a| !a.over)?;
-        (attempt.over, attempt.never_ran) = (true, outcome.never_ran());
+        let attempt = taken.attempts.get_mut(number as usize).filter(|a| a.out())?;
+        attempt.outcome = Some(outcome);
         taken.out -= 1;
         taken.timed_out = outcome == Outcome::TimedOut;
         let took = now.saturating_sub(attempt.sent);
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -271,8 +271,7 @@
         };
         let (body, room) = self.body(client, body).await?;
         client.enter(Phase::Busy);
-        let held = Instant::now();
-        let through = match serving.limited.as_ref().zip(entered.as_ref()) {
+        let (through, patience) = match serving.limited.as_ref().zip(entered.as_ref()) {
             Some((limited, entered)) => {
                 let offer = Offer {
                     tenant: entered.tenant.clone(),
@@ -284,15 +283,10 @@
                 let advice = || pool.driver.advice(class);
                 match limited.clusters.get(name) {
                     Some(name) => limited.gates.pass(name, patience, offer, advice).await?,
-                    None => None,
+                    None => (None, patience),
                 }
             }
-            None => None,
-        };
-        let waited = u64::try_from(held.elapsed().as_nanos()).unwrap_or(u64::MAX);
-        let patience = match through {
-            Some(_) => patience.saturating_sub(waited).max(1),
-            None => patience,
+            None => (None, patience),
         };
         let arrival = Arrival { class, tenant: 0, key: None, cost_hint: None, repeat, patience };
         let request = Request::from_parts(head, body);
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -429,6 +429,14 @@
     Message::read(&mut stream)
 }
 
+/// Figures of a daemon whose names begin so, added up; `admin` is where it gives them out.
+pub fn figure(admin: SocketAddr, name: &str) -> f64 {
+    let got = ask(admin, &get("/-/metrics")).unwrap();
+    let text = String::from_utf8_lossy(&got.body).into_owned();
+    let lines = text.lines().filter(|line| line.starts_with(name));
+    lines.map(|line| line.rsplit(' ').next().unwrap().parse::<f64>().unwrap()).sum()
+}
+
 /// A new connection, whose reads give up at last.
 pub fn connect(at: SocketAddr) -> Option<TcpStream> {
     let stream = TcpStream::connect(at).ok()?;
