--- a/crates/balancer/src/decide/attempts.rs
+++ b/crates/balancer/src/decide/attempts.rs
@@ -175,7 +175,7 @@
         let (overdue, sent, mut silent) = (record.overdue, record.sent, false);
         let over = finished || request.finished;
         if let Some(&s) = self.index.get(&record.server) {
-            silent = self.silent(s, sent);
+            silent = self.silent(now, s, sent);
             let server = &mut self.servers[s];
             server.in_flight = server.in_flight.saturating_sub(1);
             server.overdue = server.overdue.saturating_sub(u32::from(overdue));
@@ -243,14 +243,15 @@
             return;
         }
         (record.overdue, server.overdue) = (true, server.overdue + 1);
-        if !self.silent(s, sent) {
+        if !self.silent(now, s, sent) {
             self.note_congestion(now, 1.0);
         }
     }
 
-    /// Silent since a send while others answer: stuck; a jammed one answers what came before.
-    fn silent(&self, s: usize, sent: Nanos) -> bool {
-        self.set.silence_is_local && self.servers[s].heard < sent && self.ended_at > sent
+    /// Silent for half of an attempt while others end: stuck; a jammed one answers what came before.
+    fn silent(&self, now: Nanos, s: usize, sent: Nanos) -> bool {
+        let half = now - now.saturating_sub(sent) / 2;
+        self.set.silence_is_local && self.servers[s].heard < half && self.ended_at > half
     }
 
     /// Full jitter under a doubling bound, so that those who failed together part; none
--- a/crates/balancer/tests/tries.rs
+++ b/crates/balancer/tests/tries.rs
@@ -116,3 +116,44 @@
     };
     assert_eq!(level(Settings { retry_saved: 100.0, ..set }), 0);
 }
+
+#[test]
+fn what_was_under_way_when_a_server_froze_is_no_sign_of_congestion() {
+    let set = Settings { silence_is_local: true, retry_saved: 100.0, ..settings() };
+    let mut rig = Rig::with(set, 1..=4);
+    let answer = |rig: &mut Rig, now: Nanos, id: &str, server| {
+        rig.feed(now, ended(id, 0, server, Outcome::Ok, true));
+    };
+    // Of what server 1 has at the time, it answers one more; then it says nothing.
+    let (mut at_one, mut at_others) = (Vec::new(), Vec::new());
+    for n in 0..100 {
+        let id = format!("r{n}");
+        match sends(&rig.feed(2 * S, request(&id, 0, 2 * S)))[..] {
+            [1] => at_one.push(id),
+            [server] => at_others.push((id, server)),
+            _ => panic!("sent once"),
+        }
+    }
+    for (id, server) in at_others {
+        answer(&mut rig, 2 * S + 2 * MS, &id, server);
+    }
+    assert!(at_one.len() > 10, "{}", at_one.len());
+    answer(&mut rig, 2 * S + 5 * MS, &at_one.remove(0), 1);
+    // The others go on answering.
+    for n in 0..20u64 {
+        let (now, id) = (2 * S + 10 * MS + n * 4 * MS, format!("s{n}"));
+        match sends(&rig.feed(now, request(&id, 0, 2 * S)))[..] {
+            [1] => at_one.push(id),
+            [server] => answer(&mut rig, now + MS, &id, server),
+            _ => panic!("sent once"),
+        }
+    }
+    for id in at_one {
+        rig.feed(2 * S + 120 * MS, ended(&id, 0, 1, Outcome::TimedOut, false));
+    }
+    let refusals = (0..200).filter(|n| {
+        let actions = rig.feed(2 * S + 130 * MS, request(&format!("t{n}"), 0, 2 * S));
+        refused(&actions)
+    });
+    assert_eq!(refusals.count(), 0);
+}
