--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -2,7 +2,7 @@
 
 use crate::inbound::FrontBody;
 use bytes::Bytes;
-use hyper::header::{self, HeaderValue};
+use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{Response, StatusCode};
 use mintshelf_balancer::api::Nanos;
 
@@ -16,12 +16,20 @@
     what: &'static str,
     after: Nanos,
     last: bool,
+    more: &'static [(HeaderName, HeaderValue)],
 }
 
+/// What a handshake of another version is told (RFC 6455 4.4, RFC 9110 15.5.22).
+static VERSION: [(HeaderName, HeaderValue); 3] = [
+    (header::SEC_WEBSOCKET_VERSION, HeaderValue::from_static("13")),
+    (header::UPGRADE, HeaderValue::from_static("websocket")),
+    (header::CONNECTION, HeaderValue::from_static("upgrade")),
+];
+
 impl Refusal {
     /// A refusal; `what` is for people.
     pub fn new(status: StatusCode, code: &'static str, what: &'static str) -> Self {
-        Refusal { status, code, what, after: 0, last: false }
+        Refusal { status, code, what, after: 0, last: false, more: &[] }
     }
 
     /// Tells when to come back; 0 for nothing to tell.
@@ -34,6 +42,11 @@
         Refusal { last: true, ..self }
     }
 
+    /// Tells which version of WebSocket is spoken.
+    pub fn with_version(self) -> Self {
+        Refusal { more: &VERSION, ..self }
+    }
+
     /// As it goes to the client; `bare` for one that may have no body (HEAD).
     pub fn response(&self, bare: bool) -> Response<FrontBody> {
         let problem = serde_json::json!({
@@ -54,6 +67,9 @@
             let seconds = self.after.div_ceil(1_000_000_000);
             headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
         }
+        for (name, value) in self.more {
+            headers.insert(name, value.clone());
+        }
         if self.last {
             headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
--- a/crates/proxy/src/sockets/front.rs
+++ b/crates/proxy/src/sockets/front.rs
@@ -63,7 +63,12 @@
                 Bad::Origin => (403, "websocket-origin", "its origin may open no sockets here"),
             };
             let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST);
-            Refusal::new(status, code, what)
+            let refusal = Refusal::new(status, code, what);
+            if bad == Bad::Version {
+                refusal.with_version()
+            } else {
+                refusal
+            }
         })?;
         if draining {
             let what = "the planned end has begun; no server was asked";
--- a/crates/sockets/src/close.rs
+++ b/crates/sockets/src/close.rs
@@ -18,8 +18,8 @@
 pub const RESTART: u16 = 1012;
 /// Come back later (IANA's WebSocket close codes).
 pub const TRY_LATER: u16 = 1013;
-/// A gateway had a bad answer from the server (IANA's WebSocket close codes).
-pub const BAD_GATEWAY: u16 = 1014;
+/// Something unexpected on the side of the server.
+pub const UNEXPECTED: u16 = 1011;
 /// Nothing was sent: for the figures only.
 pub const NO_STATUS: u16 = 1005;
 /// The connection broke: for the figures only.
--- a/crates/sockets/src/session.rs
+++ b/crates/sockets/src/session.rs
@@ -372,8 +372,8 @@
         let reason = violation.reason();
         let (by, other) = match end {
             End::Client => (By::Client, Close { code: close::GOING_AWAY, reason: "" }),
-            // What a gateway says of a bad answer (IANA's WebSocket close codes).
-            End::Server => (By::Server, Close { code: close::BAD_GATEWAY, reason }),
+            // 1014 is what a gateway says of a bad answer, but clients take it for a violation.
+            End::Server => (By::Server, Close { code: close::UNEXPECTED, reason }),
         };
         // Nothing of it can be followed any more, so its answer to a close frame can't be told.
         self.side_mut(end).said = true;
