--- a/crates/config/tests/common/mod.rs
+++ b/crates/config/tests/common/mod.rs
@@ -14,6 +14,12 @@
 
 pub fn broken() -> Vec<Broken> {
     let route = |more: &str| format!("{MINIMAL}prefix = \"/x\"\n{more}\n");
+    let socket = |more: &str| {
+        format!(
+            "listen = \"127.0.0.1:1\"\n[classes.live]\neffect = \"safe\"\n\
+             [clusters.a]\nendpoints = [\"127.0.0.1:2\"]\n[[routes]]\ncluster = \"a\"\nclass = \"live\"\n{more}\n"
+        )
+    };
     vec![
         ("typo of a key", with("sockets = 256", "socket = 256"), &[("f:11:1", "did you mean 'sockets'?")]),
         ("typo of a table", with("[limits]", "[limit]"), &[("f:9:2", "did you mean 'limits'?")]),
@@ -67,5 +73,13 @@
         ("key twice", "listen = \"127.0.0.1:1\"\nlisten = \"127.0.0.1:2\"\n".into(), &[("f:2:1", "duplicate key")]),
         ("truncated", LAB[..LAB.len() / 2].to_string(), &[("f:46:3", "")]),
         ("empty", String::new(), &[("f:1:1", "no listener"), ("f:1:1", "no route")]),
+        ("socket moved that may run once", socket("websocket = { resume = \"handshake\" }").replace("\"safe\"", "\"unsafe\""), &[("f:9:13", "only safe requests may run twice")]),
+        ("socket moved with compression", socket("websocket = { resume = \"handshake\", extensions = true }"), &[("f:9:", "compressed for another")]),
+        ("socket restored by nothing known", socket("websocket = { resume = \"all\" }"), &[("f:9:", "not what restores")]),
+        ("socket without GET", socket("methods = [\"POST\"]\nwebsocket = true"), &[("f:10:", "a handshake is a GET")]),
+        ("socket of a route that answers", socket("websocket = true").replace("cluster = \"a\"", "respond = { status = 200 }").replace("[clusters.a]\nendpoints = [\"127.0.0.1:2\"]\n", "\n\n"), &[("f:9:", "no effect on a route that answers")]),
+        ("origin with a path", socket("websocket = { origins = [\"https://a.example/x\"] }"), &[("f:9:", "is not an origin")]),
+        ("all descriptors for sockets", socket("").replace("listen = \"127.0.0.1:1\"", "listen = \"127.0.0.1:1\"\nlimits = { sockets = 100, websockets = 40 }"), &[("f:2:", "up to 32 may be sockets")]),
+        ("all of an endpoint for sockets", socket("").replace("[clusters.a]", "[clusters.a]\nendpoint-connections = 8\nendpoint-sockets = 7"), &[("f:6:", "up to 6 may be sockets")]),
     ]
 }
--- a/crates/config/tests/schema.rs
+++ b/crates/config/tests/schema.rs
@@ -153,6 +153,12 @@
         "keyed route",
         "size too small",
         "absurd span",
+        "socket moved that may run once",
+        "socket moved with compression",
+        "socket without GET",
+        "socket of a route that answers",
+        "all descriptors for sockets",
+        "all of an endpoint for sockets",
     ];
     let (mut told, mut untold) = (0, Vec::new());
     for (what, text, _) in broken() {
--- a/crates/mintshelf/src/explain.rs
+++ b/crates/mintshelf/src/explain.rs
@@ -10,6 +10,7 @@
 use mintshelf_limits::tries::CopyAfter;
 use mintshelf_proxy::plain::effect_of;
 use mintshelf_routing::{Probe, Table};
+use mintshelf_sockets::session::Resume;
 use std::fmt::{Display, Write};
 use std::path::Path;
 use std::process::ExitCode;
@@ -158,6 +159,28 @@
         setting(text, file, &of("max-retry-after"), span(cluster.max_retry_after));
         setting(text, file, &of("return-ramp"), span(cluster.return_ramp));
     }
+    if let Some(socket) = &forward.websocket {
+        let resume = match socket.session.resume {
+            None => "closed",
+            Some(Resume::Handshake) => "opened elsewhere by their handshake",
+            Some(Resume::FirstMessage) => "opened elsewhere by their handshake and first message",
+        };
+        let life = &socket.session.life;
+        let _ = writeln!(text, "WebSocket: sockets whose server goes are {resume}");
+        for (key, nanos) in [
+            ("idle-timeout", life.idle),
+            ("lifetime", life.lifetime),
+            ("ping-interval", life.ping),
+            ("ping-timeout", life.silence),
+            ("stall-timeout", life.stall),
+            ("message-timeout", life.message),
+            ("close-timeout", life.closing),
+        ] {
+            let field = format!("classes.{}.sockets.{key}", route.class);
+            setting(text, file, &field, schedule::told(nanos));
+        }
+        setting(text, file, "limits.websockets", file.limits.websockets);
+    }
     let limits = &file.limits;
     setting(text, file, "limits.head-timeout", span(limits.head_timeout));
     setting(text, file, "limits.idle-timeout", span(limits.idle_timeout));
--- a/crates/mintshelf/tests/commands.rs
+++ b/crates/mintshelf/tests/commands.rs
@@ -72,6 +72,19 @@
     let status = run(&["explain", &lab, "GET", "http://bench/devices/7"]).1;
     assert!(status.contains("per-try-timeout = adaptive, 200 ms to 400 ms"), "{status}");
     assert!(status.contains("try 2 [") && status.contains("starts by 600 ms"), "{status}");
+    let text = std::fs::read_to_string(&lab).unwrap();
+    let live = text.replacen(
+        "class = \"device-status\"",
+        "class = \"device-status\"\nwebsocket = true",
+        1,
+    );
+    let file = std::env::temp_dir().join(format!("mintshelf-live-{}.toml", std::process::id()));
+    std::fs::write(&file, live).unwrap();
+    let socket = run(&["explain", &file.display().to_string(), "GET", "http://bench/devices/7"]).1;
+    std::fs::remove_file(file).unwrap();
+    for part in ["sockets whose server goes are closed", "sockets.ping-interval = 30 s (default)"] {
+        assert!(socket.contains(part), "{part} in {socket}");
+    }
     let schema: serde_json::Value = serde_json::from_str(&run(&["schema"]).1).unwrap();
     assert!(schema["properties"]["clusters"].is_object(), "{schema}");
     let keyed =
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -149,7 +149,8 @@
         let number = self.clients.add(client.clone());
         let mut prefix = Bytes::new();
         loop {
-            match self.serve(&stream, &client, prefix).await {
+            // In a box: a socket that comes after it lives long, and has no use for its room.
+            match Box::pin(self.serve(&stream, &client, prefix)).await {
                 Close::Again(rest) => prefix = rest,
                 Close::Gently => {
                     client.enter(Phase::Closing);
@@ -161,6 +162,8 @@
                 }
                 Close::Now => break,
                 Close::Upgraded(rest) => {
+                    // No further head is to come.
+                    client.scan.take();
                     let upgrade = client.upgrade.borrow_mut().take();
                     if let Some(Upgrade(upgrade)) = upgrade {
                         upgrade(stream.clone(), rest).await;
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -130,7 +130,8 @@
         return;
     }
     let until = Instant::now() + LINGER;
-    let mut scratch = [0; 4096];
+    // Not in the future itself: that lives as long as the connection does.
+    let mut scratch = vec![0; 4096];
     let mut left = LINGER_BYTES;
     while left > 0 {
         let readable = poll_fn(|cx| stream.borrow().poll_read_ready(cx));
--- a/crates/proxy/src/sockets/relay.rs
+++ b/crates/proxy/src/sockets/relay.rs
@@ -57,7 +57,7 @@
         loop {
             let pause = poll_fn(|cx| self.poll(cx, &mut timer, &mut leave)).await;
             match pause {
-                Pause::Over(over) => return self.end(over).await,
+                Pause::Over(over) => return Box::pin(self.end(over)).await,
                 Pause::Leave(at, order) => leave = Some((at, order)),
                 Pause::Act(Act::Lost) => {
                     // Its connection is of no use; its place at the server is free.
