One exchange up to the head, one way to register figures, one bench child

Need: reading the change again found pieces that stood twice.

Change: Link::ask and ask_upgrade share the wait for a head; the admin page's families are registered by two functions for requests and sockets alike; what is wrong with a handshake is worded once, where it is found; the process's standard of sockets is reckoned once; the two benches of several processes share their child. Sockets::len, is_empty and Evacuations::servers, which nothing called, are gone. Behaviour is as it was.

--- a/crates/config/src/file/mod.rs
+++ b/crates/config/src/file/mod.rs
@@ -176,19 +176,21 @@
 }
 
 fn process_limits(table: Option<Table>) -> Limits {
+    const DESCRIPTORS: usize = 1024;
+    let (websockets, websocket_drain) = sockets::standard_limits(DESCRIPTORS);
     let standard = Limits {
         memory: 64 << 20,
-        sockets: 1024,
+        sockets: DESCRIPTORS,
         head_timeout: ms(2_500),
         idle_timeout: ms(20_000),
         stream_timeout: ms(30_000),
         abort_on_close: false,
-        websockets: sockets::standard_limits(1024).0,
-        websocket_drain: sockets::standard_limits(1024).1,
+        websockets,
+        websocket_drain,
     };
     let Some(table) = table else { return standard };
     let sockets = table.whole("sockets", standard.sockets as u32, 64..=1 << 20).value as usize;
-    let (websockets, websocket_drain) = sockets::limits(&table, sockets, UPSTREAM_SHARE);
+    let (websockets, websocket_drain) = sockets::limits(&table, sockets);
     let limits = Limits {
         memory: table.size("memory", standard.memory, 16 << 20..=64 << 30).value,
         sockets,
--- a/crates/config/src/file/sockets.rs
+++ b/crates/config/src/file/sockets.rs
@@ -4,7 +4,7 @@
 use super::routes::Read;
 use super::tries::ReadClass;
 use super::{ms, EVER};
-use crate::model::{SocketClass, Then, WebSocket};
+use crate::model::{SocketClass, Then, WebSocket, UPSTREAM_SHARE};
 use crate::module::nanos;
 use crate::problem::BrokenRule;
 use mintshelf_balancer::api::Effect;
@@ -147,11 +147,20 @@
     }
 }
 
-/// Reads how many sockets the process holds, and in how long they are closed when it ends.
-pub fn limits(table: &Table, sockets: usize, connections: f64) -> (u32, Duration) {
-    let standard = (sockets as f64 * SOCKETS) as u32;
-    let at = table.whole("websockets", standard, 0..=1 << 20);
-    let most = (sockets as f64 * connections * SOCKETS_MOST) as u32;
+/// In how long the sockets are closed when the process ends.
+const DRAIN: Duration = Duration::from_secs(5);
+
+/// How many sockets a process with so many descriptors holds, and in how long they are closed
+/// when it ends.
+pub fn standard_limits(sockets: usize) -> (u32, Duration) {
+    ((sockets as f64 * SOCKETS) as u32, DRAIN)
+}
+
+/// Reads what the file says of that.
+pub fn limits(table: &Table, sockets: usize) -> (u32, Duration) {
+    let (count, drain) = standard_limits(sockets);
+    let at = table.whole("websockets", count, 0..=1 << 20);
+    let most = (sockets as f64 * UPSTREAM_SHARE * SOCKETS_MOST) as u32;
     if at.value > most {
         let what = format!(
             "{} sockets would leave requests too few connections: of {sockets} descriptors up to \
@@ -161,18 +170,10 @@
         let mend = "lower it, or raise sockets";
         table.reader.breaks(&at.span, &at.field, what, mend, BrokenRule::Lost);
     }
-    let drain = table.duration("websocket-drain", DRAIN, ms(0)..=Duration::from_secs(600));
+    let drain = table.duration("websocket-drain", drain, ms(0)..=Duration::from_secs(600));
     (at.value, drain.value)
 }
 
-/// In how long the sockets are closed when the process ends.
-pub const DRAIN: Duration = Duration::from_secs(5);
-
-/// The standard of a process with so many descriptors.
-pub fn standard_limits(sockets: usize) -> (u32, Duration) {
-    ((sockets as f64 * SOCKETS) as u32, DRAIN)
-}
-
 impl SocketClass {
     /// As a session takes it.
     fn with(&self, resume: Option<Resume>) -> SocketSet {
--- a/crates/mintshelf/benches/relay.rs
+++ b/crates/mintshelf/benches/relay.rs
@@ -2,7 +2,10 @@
 //! rules), in one run: `cargo bench -p mintshelf`. Each runs in a process on a core of its
 //! own where `taskset` and the cores are there; servers and load have others.
 
+mod common;
+
 use bytes::Bytes;
+use common::{block_on, wait_for, Process};
 use http_body_util::{BodyExt, Empty, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{handshake, SendRequest};
@@ -12,12 +15,12 @@
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::net::{SocketAddr, TcpStream as Probe};
-use std::process::{Child, Command, Stdio};
+use std::net::SocketAddr;
+use std::process::{Command, Stdio};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{spawn_local, LocalSet};
+use tokio::task::spawn_local;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_mintshelf");
 const ROLE: &str = "MINTSHELF_BENCH_ROLE";
@@ -33,11 +36,6 @@
 
 type Fault = Box<dyn std::error::Error + Send + Sync>;
 
-fn block_on<T>(future: impl std::future::Future<Output = T>) -> T {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    LocalSet::new().block_on(&runtime.expect("a runtime"), future)
-}
-
 async fn listen(at: &str) -> Result<TcpListener, Fault> {
     Ok(TcpListener::bind(at.parse::<SocketAddr>()?).await?)
 }
@@ -143,62 +141,36 @@
     Ok(times)
 }
 
-/// A child process, ended when the bench is.
-struct Process(Child);
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-impl Process {
-    fn start(core: &str, program: &str, args: &[&str], role: &str) -> Result<Self, Fault> {
-        let pinned = Command::new("taskset").args(["-c", core, "true"]).status();
-        let mut command = match pinned.is_ok_and(|status| status.success()) {
-            true => {
-                let mut command = Command::new("taskset");
-                command.args(["-c", core, program]);
-                command
-            }
-            false => Command::new(program),
-        };
-        let command = command.args(args).env(ROLE, role).stderr(Stdio::null());
-        Ok(Process(command.spawn()?))
-    }
-
-    /// CPU seconds used so far.
-    fn cpu(&self) -> f64 {
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.0.id()));
-        let stat = stat.unwrap_or_default();
-        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
-        let of = |at: usize| fields.get(at).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
-        (of(11) + of(12)) / TICKS
-    }
-
-    /// Resident memory in KiB.
-    fn memory(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.0.id()));
-        let status = status.unwrap_or_default();
-        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap_or("0");
-        line.split_whitespace().next().and_then(|n| n.parse().ok()).unwrap_or(0)
-    }
+/// Starts a child on a core of its own, where that can be had.
+fn start(core: &str, program: &str, args: &[&str], role: &str) -> Result<Process, Fault> {
+    let pinned = Command::new("taskset").args(["-c", core, "true"]).status();
+    let mut command = match pinned.is_ok_and(|status| status.success()) {
+        true => {
+            let mut command = Command::new("taskset");
+            command.args(["-c", core, program]);
+            command
+        }
+        false => Command::new(program),
+    };
+    let command = command.args(args).env(ROLE, role).stderr(Stdio::null());
+    Ok(Process(command.spawn()?))
 }
 
-fn wait_for(at: &str) {
-    let begun = Instant::now();
-    while Probe::connect(at).is_err() && begun.elapsed() < Duration::from_secs(20) {
-        std::thread::sleep(Duration::from_millis(20));
-    }
+/// CPU seconds that a child has used so far.
+fn cpu(process: &Process) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{}/stat", process.0.id()));
+    let stat = stat.unwrap_or_default();
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+    let of = |at: usize| fields.get(at).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+    (of(11) + of(12)) / TICKS
 }
 
 /// Requests a second, p50 and p99 in microseconds, CPU microseconds a request.
 fn measure(to: &str, process: Option<&Process>) -> Result<[f64; 4], Fault> {
     block_on(load(to, WARM))?;
-    let before = process.map_or(0.0, Process::cpu);
+    let before = process.map_or(0.0, cpu);
     let times = block_on(load(to, SPAN))?;
-    let used = process.map_or(0.0, Process::cpu) - before;
+    let used = process.map_or(0.0, cpu) - before;
     let micros = |share: f64| times[(times.len() as f64 * share) as usize].as_secs_f64() * 1e6;
     let rate = times.len() as f64 / SPAN.as_secs_f64();
     Ok([rate, micros(0.5), micros(0.99), used * 1e6 / times.len() as f64])
@@ -215,9 +187,9 @@
     let file = std::env::temp_dir().join(format!("mintshelf-bench-{}.toml", std::process::id()));
     std::fs::write(&file, text)?;
     let path = file.to_str().ok_or("the file's path")?;
-    let _servers = Process::start("0", me, &[], "servers")?;
-    let relay = Process::start("1", me, &[], "relay")?;
-    let daemon = Process::start("1", PROGRAM, &["run", "--config", path], "")?;
+    let _servers = start("0", me, &[], "servers")?;
+    let relay = start("1", me, &[], "relay")?;
+    let daemon = start("1", PROGRAM, &["run", "--config", path], "")?;
     [SERVERS[0], RELAY, DAEMON].into_iter().for_each(wait_for);
     println!(
         "{CONNECTIONS} connections, 256 bytes an answer, {ROUNDS} rounds of {SPAN:?}, medians"
--- a/crates/mintshelf/benches/sockets.rs
+++ b/crates/mintshelf/benches/sockets.rs
@@ -2,13 +2,16 @@
 //! the death of a server with a thousand open: `cargo bench -p mintshelf --bench sockets`. Every
 //! ratio has its baseline in the same run. Prints its tables.
 
+mod common;
+
+use common::{block_on, wait_for, Process};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{spawn_local, LocalSet};
+use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_mintshelf");
@@ -25,11 +28,6 @@
 
 type Fault = Box<dyn std::error::Error + Send + Sync>;
 
-fn block_on<T>(future: impl std::future::Future<Output = T>) -> T {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    LocalSet::new().block_on(&runtime.expect("a runtime"), future)
-}
-
 async fn read(stream: &TcpStream, buffer: &mut [u8]) -> std::io::Result<usize> {
     loop {
         stream.readable().await?;
@@ -169,39 +167,13 @@
     }
 }
 
-struct Process(Child);
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
+fn child(program: &str, args: &[&str], role: &str) -> Result<Process, Fault> {
+    let mut command = Command::new(program);
+    Ok(Process(command.args(args).env(ROLE, role).stderr(Stdio::null()).spawn()?))
 }
 
-impl Process {
-    fn start(program: &str, args: &[&str], role: &str) -> Result<Self, Fault> {
-        let mut command = Command::new(program);
-        Ok(Process(command.args(args).env(ROLE, role).stderr(Stdio::null()).spawn()?))
-    }
-
-    fn signal(&self, name: &str) {
-        let _ = Command::new("kill").args(["-s", name, &self.0.id().to_string()]).status();
-    }
-
-    /// Resident memory in KiB.
-    fn memory(&self) -> f64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.0.id()));
-        let status = status.unwrap_or_default();
-        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap_or("0");
-        line.split_whitespace().next().and_then(|n| n.parse().ok()).unwrap_or(0.0)
-    }
-}
-
-fn wait_for(at: &str) {
-    let begun = Instant::now();
-    while std::net::TcpStream::connect(at).is_err() && begun.elapsed() < Duration::from_secs(20) {
-        std::thread::sleep(Duration::from_millis(20));
-    }
+fn signal(process: &Process, name: &str) {
+    let _ = Command::new("kill").args(["-s", name, &process.0.id().to_string()]).status();
 }
 
 struct Set {
@@ -219,7 +191,7 @@
 fn start(name: &str, class: &str, websocket: &str) -> Result<Set, Fault> {
     let me = std::env::current_exe()?;
     let me = me.to_str().ok_or("the program's path")?;
-    let nodes = NODES.map(|at| Process::start(me, &[at], "node"));
+    let nodes = NODES.map(|at| child(me, &[at], "node"));
     let nodes = nodes.into_iter().collect::<Result<Vec<_>, _>>()?;
     let endpoints = NODES.map(|at| format!("\"{at}\"")).join(", ");
     let text = format!(
@@ -233,7 +205,7 @@
     std::fs::write(&file, text)?;
     let path = file.to_str().ok_or("the file's path")?;
     NODES.into_iter().for_each(wait_for);
-    let daemon = Process::start(PROGRAM, &["run", "--config", path], "")?;
+    let daemon = child(PROGRAM, &["run", "--config", path], "")?;
     wait_for(DAEMON);
     Ok(Set { nodes, daemon, file })
 }
@@ -245,14 +217,14 @@
     block_on(async {
         let mut held = vec![open(DAEMON).await?];
         sleep(Duration::from_secs(1)).await;
-        let before = set.daemon.memory();
+        let before = set.daemon.memory() as f64;
         println!("{:>10} {before:>14.0} {:>16}", held.len(), "-");
         for many in MANY {
             while held.len() < many {
                 held.push(open(DAEMON).await?);
             }
             sleep(Duration::from_secs(2)).await;
-            let now = set.daemon.memory();
+            let now = set.daemon.memory() as f64;
             println!("{many:>10} {now:>14.0} {:>16.2}", (now - before) / many as f64);
         }
         Ok(())
@@ -308,7 +280,7 @@
     println!("in turns, medians");
     let set = start("messages", "", "true")?;
     let me = std::env::current_exe()?;
-    let relay = Process::start(me.to_str().ok_or("the program's path")?, &[], "relay")?;
+    let relay = child(me.to_str().ok_or("the program's path")?, &[], "relay")?;
     wait_for(RELAY);
     let mut rows: [Vec<[f64; 3]>; 2] = Default::default();
     for _ in 0..ROUNDS {
@@ -412,7 +384,7 @@
     let at_node = figure("mintshelf_endpoint_sockets{cluster=\"c\",endpoint=\"127.0.93.1:19301\"}");
     let begun = Instant::now();
     match how {
-        "killed" => set.nodes[0].signal("KILL"),
+        "killed" => signal(&set.nodes[0], "KILL"),
         "slow to death" => {
             let node = set.nodes[0].0.id().to_string();
             // Stopped for longer and longer, then for good.
@@ -422,9 +394,9 @@
                 let _ = Command::new("kill").args(["-s", "CONT", &node]).status();
                 sleep(Duration::from_millis(100)).await;
             }
-            set.nodes[0].signal("STOP");
+            signal(&set.nodes[0], "STOP");
         }
-        _ => set.nodes[0].signal("STOP"),
+        _ => signal(&set.nodes[0], "STOP"),
     }
     let opened = Rc::new(RefCell::new(Vec::new()));
     let (samples, until) = (opened.clone(), over.clone());
@@ -488,7 +460,7 @@
             let websocket = if resume { "{ resume = \"handshake\" }" } else { "true" };
             let set = start("deaths", class, websocket)?;
             block_on(death(&set, how, sockets, resume))?;
-            set.nodes[0].signal("CONT");
+            signal(&set.nodes[0], "CONT");
         }
     }
     Ok(())
--- a/crates/mintshelf/src/admin.rs
+++ b/crates/mintshelf/src/admin.rs
@@ -61,21 +61,44 @@
 type Label = [(&'static str, String); 1];
 type Pair = [(&'static str, String); 2];
 
+/// Registers counts by a label.
+fn counters(
+    registry: &mut Registry,
+    name: &str,
+    help: &str,
+    label: &'static str,
+    of: impl IntoIterator<Item = (String, u64)>,
+) {
+    let family = Family::<Label, Counter>::default();
+    for (value, count) in of {
+        family.get_or_create(&[(label, value)]).inc_by(count);
+    }
+    registry.register(name, help, family);
+}
+
+/// Registers levels by a label.
+fn gauges(
+    registry: &mut Registry,
+    name: &str,
+    help: &str,
+    label: &'static str,
+    of: impl IntoIterator<Item = (String, i64)>,
+) {
+    let family = Family::<Label, Gauge>::default();
+    for (value, level) in of {
+        family.get_or_create(&[(label, value)]).set(level);
+    }
+    registry.register(name, help, family);
+}
+
 impl Admin {
     /// What the open WebSockets are and were.
     fn sockets(&self, registry: &mut Registry) {
         let levels = self.daemon.sockets.levels();
-        let gauge = |of: &BTreeMap<String, u64>, label| {
-            let family = Family::<Label, Gauge>::default();
-            for (value, level) in of {
-                family.get_or_create(&[(label, value.clone())]).set(*level as i64);
-            }
-            family
-        };
-        let clusters = gauge(&levels.clusters, "cluster");
-        registry.register("sockets", "Open WebSockets, by cluster", clusters);
-        let tenants = gauge(&levels.tenants, "tenant");
-        registry.register("tenant_sockets", "Open WebSockets, by tenant", tenants);
+        let of = |levels: BTreeMap<String, u64>| levels.into_iter().map(|(of, n)| (of, n as i64));
+        gauges(registry, "sockets", "Open WebSockets, by cluster", "cluster", of(levels.clusters));
+        let help = "Open WebSockets, by tenant";
+        gauges(registry, "tenant_sockets", help, "tenant", of(levels.tenants));
         let endpoints = Family::<Pair, Gauge>::default();
         for ((cluster, server), level) in &levels.endpoints {
             let at = self.daemon.address(cluster, *server);
@@ -87,16 +110,12 @@
         queued.set(levels.queued as i64);
         registry.register("socket_queued_bytes", "Bytes that wait for an end", queued);
         let counts = self.daemon.sockets.counts.borrow();
-        let counter = |of: &BTreeMap<Rc<str>, u64>| {
-            let family = Family::<Label, Counter>::default();
-            for (cluster, count) in of {
-                family.get_or_create(&[("cluster", cluster.to_string())]).inc_by(*count);
-            }
-            family
+        let of = |counts: &BTreeMap<Rc<str>, u64>| -> Vec<(String, u64)> {
+            counts.iter().map(|(of, n)| (of.to_string(), *n)).collect()
         };
-        registry.register("sockets_opened", "WebSockets opened", counter(&counts.opened));
-        let moved = counter(&counts.moved);
-        registry.register("sockets_moved", "WebSockets that went on at another server", moved);
+        counters(registry, "sockets_opened", "WebSockets opened", "cluster", of(&counts.opened));
+        let help = "WebSockets that went on at another server";
+        counters(registry, "sockets_moved", help, "cluster", of(&counts.moved));
         let closed = Family::<Pair, Counter>::default();
         for ((by, code), count) in &counts.closed {
             let by = match by {
@@ -113,69 +132,51 @@
             (0, "socket_messages", "Messages passed, by who sent them"),
             (1, "socket_bytes", "Bytes received, by who sent them"),
         ] {
-            let family = Family::<Label, Counter>::default();
-            for (end, from) in ["client", "server"].into_iter().enumerate() {
-                let count = counts.passed[end][what];
-                family.get_or_create(&[("from", from.to_string())]).inc_by(count);
-            }
-            registry.register(name, help, family);
+            let of = ["client", "server"].into_iter().zip(&counts.passed);
+            let of = of.map(|(from, passed)| (from.to_string(), passed[what]));
+            counters(registry, name, help, "from", of);
         }
     }
 
     fn metrics(&self) -> String {
         let mut registry = Registry::with_prefix("mintshelf");
-        let mut counters = |name: &str, help: &str, label: &'static str, of: Vec<(String, u64)>| {
-            let family = Family::<Label, Counter>::default();
-            for (value, count) in of {
-                family.get_or_create(&[(label, value)]).inc_by(count);
-            }
-            registry.register(name, help, family);
-        };
+        let all = &mut registry;
         let daemon = &self.daemon;
         let statuses = daemon.counts.statuses.borrow();
-        let statuses = statuses.iter().map(|(status, n)| (status.to_string(), *n)).collect();
-        counters("answers", "Answers to clients, by status", "status", statuses);
-        counters("requests", "Requests by route", "route", daemon.hits());
+        let statuses = statuses.iter().map(|(status, n)| (status.to_string(), *n));
+        counters(all, "answers", "Answers to clients, by status", "status", statuses);
+        counters(all, "requests", "Requests by route", "route", daemon.hits());
         let refusals = daemon.counts.refusals.borrow();
-        let refusals = refusals.iter().map(|(code, n)| (code.to_string(), *n)).collect();
-        counters("refusals", "Errors of this side's own, by code", "code", refusals);
+        let refusals = refusals.iter().map(|(code, n)| (code.to_string(), *n));
+        counters(all, "refusals", "Errors of this side's own, by code", "code", refusals);
         let reloads = daemon.reloads().map(|(result, n)| (result.to_string(), n));
-        counters("reloads", "Files read again, by result", "result", reloads.to_vec());
+        counters(all, "reloads", "Files read again, by result", "result", reloads.to_vec());
         let tried = daemon.tried();
         let of = |which: usize| {
             tried.iter().map(|(name, counts)| (name.clone(), counts[which])).collect::<Vec<_>>()
         };
-        counters("tries_cut", "Attempts ended for their own time", "cluster", of(0));
-        counters("second_copies", "Second copies sent", "cluster", of(1));
-        let mut gauges = |name: &str, help: &str, label: &'static str, of: Vec<(String, i64)>| {
-            let family = Family::<Label, Gauge>::default();
-            for (value, level) in of {
-                family.get_or_create(&[(label, value)]).set(level);
-            }
-            registry.register(name, help, family);
-        };
+        counters(all, "tries_cut", "Attempts ended for their own time", "cluster", of(0));
+        counters(all, "second_copies", "Second copies sent", "cluster", of(1));
         let pools = daemon.pools();
         let of = |which: usize| {
-            pools.iter().map(|(name, levels)| (name.clone(), levels[which] as i64)).collect()
+            pools.iter().map(move |(name, levels)| (name.clone(), levels[which] as i64))
         };
-        let open = of(0);
-        gauges("open_requests", "Requests that have no answer yet", "cluster", open);
-        gauges("timers", "Timers set for open requests", "cluster", of(1));
-        gauges("endpoints", "Endpoints listed", "cluster", of(2));
+        gauges(all, "open_requests", "Requests that have no answer yet", "cluster", of(0));
+        gauges(all, "timers", "Timers set for open requests", "cluster", of(1));
+        gauges(all, "endpoints", "Endpoints listed", "cluster", of(2));
         let help = "Whether the cluster is as usual (0), out (1), or coming back (2)";
-        gauges("recovery_phase", help, "cluster", of(3));
+        gauges(all, "recovery_phase", help, "cluster", of(3));
         let help = "Clients that were told when to come back, and whose time is ahead";
-        gauges("expected_back", help, "cluster", of(4));
+        gauges(all, "expected_back", help, "cluster", of(4));
         let levels = daemon.gates.levels();
-        let tenants =
-            levels.tenants.into_iter().map(|(name, held)| (name, i64::from(held))).collect();
-        gauges("tenant_requests", "Requests under way, by tenant", "tenant", tenants);
+        let tenants = levels.tenants.into_iter().map(|(name, held)| (name, i64::from(held)));
+        gauges(all, "tenant_requests", "Requests under way, by tenant", "tenant", tenants);
         let of = |which: usize| {
             let clusters = levels.clusters.iter();
-            clusters.map(|(name, levels)| (name.clone(), levels[which] as i64)).collect()
+            clusters.map(move |(name, levels)| (name.clone(), levels[which] as i64))
         };
-        gauges("gate_requests", "Requests that have a place at a cluster", "cluster", of(0));
-        gauges("gate_waiting", "Requests that wait for a place", "cluster", of(1));
+        gauges(all, "gate_requests", "Requests that have a place at a cluster", "cluster", of(0));
+        gauges(all, "gate_waiting", "Requests that wait for a place", "cluster", of(1));
         self.sockets(&mut registry);
         let clients: Gauge = Gauge::default();
         clients.set(daemon.clients.len() as i64);
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -116,11 +116,21 @@
         runs_early: bool,
     ) -> Result<Response<Incoming>, Outcome> {
         let body = if runs_early { 0 } else { request.body().size_hint().lower() };
+        self.head(request, body, drive).await
+    }
+
+    /// The same for a body of so many bytes, with the library's work left to `work`.
+    async fn head(
+        &mut self,
+        request: Request<Outbound>,
+        body: u64,
+        mut work: impl FnMut(&mut Option<Pin<Box<Driven>>>, &mut Context<'_>),
+    ) -> Result<Response<Incoming>, Outcome> {
         self.meter.expect(body);
         let mut response = pin!(self.send.send_request(request));
         let (driven, meter) = (&mut self.driven, &self.meter);
         let answered = poll_fn(|cx| {
-            drive(driven, cx);
+            work(driven, cx);
             response.as_mut().poll(cx)
         });
         tokio::select! {
@@ -161,22 +171,14 @@
         &mut self,
         request: Request<Outbound>,
     ) -> Result<Response<Incoming>, Outcome> {
-        self.meter.expect(0);
-        let mut response = pin!(self.send.send_request(request));
-        let (driven, meter) = (&mut self.driven, &self.meter);
         // The library ends with the 101, and what it read behind that is still in it.
         let mut ended = false;
-        let answered = poll_fn(|cx| {
+        let work = |driven: &mut Option<Pin<Box<Driven>>>, cx: &mut Context<'_>| {
             if let Some(driven) = driven.as_mut().filter(|_| !ended) {
                 ended = driven.poll_without_shutdown(cx).is_ready();
             }
-            response.as_mut().poll(cx)
-        });
-        let answered = tokio::select! {
-            biased;
-            answered = answered => answered.map_err(|error| broken(meter, &error)),
-            () = stalled(meter) => Err(Outcome::Error),
-        }?;
+        };
+        let answered = self.head(request, 0, work).await?;
         if ended && answered.status() != StatusCode::SWITCHING_PROTOCOLS {
             self.driven = None;
         }
--- a/crates/proxy/src/sockets/front.rs
+++ b/crates/proxy/src/sockets/front.rs
@@ -55,15 +55,12 @@
     ) -> Result<Self, Refusal> {
         let read = Offer::read(request.method(), request.version(), request.headers(), &set.terms);
         let offer = read.map_err(|bad| {
-            let (status, code, what) = match bad {
-                Bad::Method => (400, "websocket", "a WebSocket is asked for with GET, HTTP/1.1"),
-                Bad::Key => (400, "websocket", "Sec-WebSocket-Key is not one key of 16 bytes"),
-                Bad::List => (400, "websocket", "subprotocols or extensions can't be read"),
-                Bad::Version => (426, "websocket-version", "only WebSocket version 13 is spoken"),
-                Bad::Origin => (403, "websocket-origin", "its origin may open no sockets here"),
+            let (status, code) = match bad {
+                Bad::Method | Bad::Key | Bad::List => (StatusCode::BAD_REQUEST, "websocket"),
+                Bad::Version => (StatusCode::UPGRADE_REQUIRED, "websocket-version"),
+                Bad::Origin => (StatusCode::FORBIDDEN, "websocket-origin"),
             };
-            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST);
-            let refusal = Refusal::new(status, code, what);
+            let refusal = Refusal::new(status, code, bad.reason());
             if bad == Bad::Version {
                 refusal.with_version()
             } else {
--- a/crates/proxy/src/sockets/registry.rs
+++ b/crates/proxy/src/sockets/registry.rs
@@ -368,16 +368,6 @@
         }
     }
 
-    /// How many are open.
-    pub fn len(&self) -> usize {
-        self.entries.borrow().len()
-    }
-
-    /// Whether none is.
-    pub fn is_empty(&self) -> bool {
-        self.entries.borrow().is_empty()
-    }
-
     /// Where they are.
     pub fn levels(&self) -> SocketLevels {
         let mut levels = SocketLevels { queued: self.queued.get(), ..SocketLevels::default() };
--- a/crates/sockets/src/evacuation.rs
+++ b/crates/sockets/src/evacuation.rs
@@ -40,11 +40,6 @@
         leaving.next = slot.saturating_add(leaving.step).min(leaving.until);
         slot
     }
-
-    /// Servers that sockets are leaving now.
-    pub fn servers(&self) -> usize {
-        self.servers.len()
-    }
 }
 
 #[cfg(test)]
@@ -60,7 +55,7 @@
         assert_eq!(all.slot(7, 1, 1), 7);
         assert_eq!(all.slot(7, 1, 1), 7 + 20 * MS);
         assert_eq!(all.slot(6_000 * MS, 1, 1), 6_000 * MS);
-        assert_eq!(all.servers(), 1);
+        assert_eq!(all.servers.len(), 1);
     }
 
     proptest! {
--- a/crates/sockets/src/handshake.rs
+++ b/crates/sockets/src/handshake.rs
@@ -5,7 +5,6 @@
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Version};
 use sha1::{Digest, Sha1};
-use std::fmt;
 
 /// What an accept is made of, beside the key (RFC 6455 1.3).
 const GUID: &[u8] = b"258EAFA5-E914-47DA-95CA-C5AB0DC85B11";
@@ -41,15 +40,16 @@
     List,
 }
 
-impl fmt::Display for Bad {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Bad::Method => "a WebSocket is asked for with GET in HTTP/1.1",
+impl Bad {
+    /// What the client is told.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Bad::Method => "a WebSocket is asked for with GET, HTTP/1.1",
             Bad::Key => "Sec-WebSocket-Key is not one key of 16 bytes",
-            Bad::Version => "Sec-WebSocket-Version is not 13",
-            Bad::Origin => "sockets may not be opened from its origin",
-            Bad::List => "a list of subprotocols or extensions can't be read",
-        })
+            Bad::Version => "only WebSocket version 13 is spoken",
+            Bad::Origin => "its origin may open no sockets here",
+            Bad::List => "subprotocols or extensions can't be read",
+        }
     }
 }
 
