Let the refused level fade at all times, and refuse who leaves before answers come

Cause: on join a sidecar's level went from 0 to 1 within a second and stood over 0.5 for ten seconds after the release ended: an ended attempt moves it by a gain over a rate of answers that remembers ten seconds (note_congestion, decide/admission.rs), and it faded by time only after a second with no end at all (fade_level). The jam itself was seeded by requests of clients that give up after 20 to 200 ms and come again: 3,283 time-outs before overdue in 13,685 requests of two seconds, each worked on in vain (hopeless knew of long work only). Change: the level fades by 1/e in ADMIT_FADE always; a client that waits less than the aim and less than half of the answers take now is refused at once.

--- a/crates/balancer/src/decide/admission.rs
+++ b/crates/balancer/src/decide/admission.rs
@@ -14,8 +14,7 @@
 /// Bounds of what one ended attempt moves it by.
 const ADMIT_STEP_MIN: f64 = 0.01;
 const ADMIT_STEP_MAX: f64 = 0.15;
-/// With no attempt ended for so long, the refused share fades by 1/e in the time below.
-const ADMIT_SILENCE: Nanos = SECOND;
+/// The refused share fades by 1/e in this time.
 const ADMIT_FADE: Nanos = 4 * SECOND;
 /// Wait at a server, as a part of what the tightest aim leaves, at which a send is refused.
 const WAIT_SHARE: f64 = 0.7;
@@ -27,6 +26,8 @@
 /// (else the dead band), and how much more refuses all of it.
 const OVER_FROM: f64 = 0.05;
 const OVER_SPAN: f64 = 0.1;
+/// A client must wait this power of e longer than usual for each part of refused share.
+const HASTE: f64 = 2.0;
 /// Memory of the traffic mix, in requests.
 const MIX_MEMORY: f64 = 300.0;
 
@@ -47,12 +48,10 @@
 
     /// Danger: who refuses most sees few ends; the level falls by time too, or outlives the jam.
     pub(super) fn fade_level(&mut self, now: Nanos) {
-        let silent = now.saturating_sub(self.ended_at.max(self.level_at)) as f64;
-        if now.saturating_sub(self.ended_at) > ADMIT_SILENCE {
-            self.refuse_level *= (-silent / ADMIT_FADE as f64).exp();
-        }
-        let passed = now.saturating_sub(self.level_at) as f64 / USUAL_SPAN as f64;
-        self.usual_level += (self.refuse_level - self.usual_level) * passed.min(1.0);
+        let passed = now.saturating_sub(self.level_at) as f64;
+        self.refuse_level *= (-passed / ADMIT_FADE as f64).exp();
+        let share = (passed / USUAL_SPAN as f64).min(1.0);
+        self.usual_level += (self.refuse_level - self.usual_level) * share;
         self.level_at = now;
         self.share_refusals();
     }
@@ -101,11 +100,18 @@
         1.0 - (1.0 - self.refuse[class]) * (1.0 - ramp * over.clamp(0.0, ADMIT_MAX))
     }
 
-    /// Known work too long for any kind. Danger: it would hold places in vain.
-    pub(super) fn hopeless(&self, request: &Request) -> bool {
+    /// Known work too long for any kind, or a client that will not even wait for the aim and
+    /// leaves sooner than answers come now. Danger: it would hold places in vain.
+    pub(super) fn hopeless(&self, now: Nanos, request: &Request) -> bool {
         let class = &self.set.classes[request.class];
+        let left = request.deadline.saturating_sub(now);
+        let needs = self.typical_now(now, request.class) * (HASTE * self.refuse_level).exp();
+        let taught = self.taught[request.class] > 9.0;
+        if taught && left < class.aim && (left as f64) < needs {
+            return true;
+        }
         let best = self.kind_offset[request.class].iter().copied().fold(f64::INFINITY, f64::min);
-        let sure = class.late_worth <= 0.0 && self.taught[request.class] > 9.0;
+        let sure = class.late_worth <= 0.0 && taught;
         let known = request.cost.zip(self.pace[request.class]).filter(|_| sure);
         known
             .is_some_and(|(cost, pace)| (cost + pace + best).exp() > HOPELESS_AT * class.aim as f64)
--- a/crates/balancer/src/decide/attempts.rs
+++ b/crates/balancer/src/decide/attempts.rs
@@ -30,7 +30,7 @@
         self.count_mix(now, class, tenant);
         self.tell_peer(now, out);
         self.fade_level(now);
-        let hopeless = self.hopeless(&request);
+        let hopeless = self.hopeless(now, &request);
         self.requests.insert(id.clone(), request);
         let chance = self.refuse_chance(now, class, tenant);
         if hopeless || self.rng.draw() < chance {
--- a/crates/balancer/src/decide/mod.rs
+++ b/crates/balancer/src/decide/mod.rs
@@ -4,8 +4,9 @@
 //! (section 4 of their paper). Exceptions act only through who is ready, what
 //! a server's speed is, whether a request is admitted and when it is tried again.
 
-use crate::record::{Attempt, Request};
-use crate::{api::*, budget::RetryBudget, fading::Fading, peer::Evidence, rng::*, wakes::Wakes};
+use crate::fading::{Fading, FadingMean};
+use crate::record::{Attempt, End, Health, Legal, Request, Sample};
+use crate::{api::*, budget::RetryBudget, peer::Evidence, rng::*, wakes::Wakes};
 use std::collections::HashMap;
 
 mod admission;
@@ -38,9 +39,8 @@
     answered: Nanos,
     /// When it last answered anything.
     heard: Nanos,
-    /// Decayed sum and count of log latency ratios.
-    slow_sum: Fading,
-    slow_count: Fading,
+    /// Log latency ratios.
+    slow: FadingMean,
     fails: Fading,
     ejected_until: Nanos,
     ejections: u32,
@@ -61,24 +61,7 @@
     }
 }
 
-/// What may be done with a request now.
-#[derive(Debug, Clone, Copy, PartialEq)]
-struct Legal {
-    /// Another attempt may go out.
-    send: bool,
-    /// It must go to the group of this server.
-    group_of: Option<ServerId>,
-    /// It may be refused; otherwise it can only fail.
-    refuse: bool,
-}
-
 type Out<'a> = &'a mut Vec<Action>;
-/// How an attempt ended, whether its request has too, and how long it took.
-type End = (Outcome, bool, Nanos);
-/// An attempt as it teaches speed: its class, the log of its work if known, and its time.
-type Sample = (usize, Option<f64>, Nanos);
-/// Whether a probe went well, and the load report that came with it.
-type Health = (bool, Option<Vec<f64>>);
 
 #[derive(Debug, Clone)]
 enum Wake {
@@ -110,6 +93,8 @@
     /// What a kind of server adds to each class's log latency.
     kind_offset: Vec<Vec<f64>>,
     arrivals: Fading,
+    /// Log latency ratios of late, of all servers.
+    lag: FadingMean,
     born: Nanos,
     told_at: Nanos,
     retries: RetryBudget,
--- a/crates/balancer/src/decide/speed.rs
+++ b/crates/balancer/src/decide/speed.rs
@@ -17,6 +17,8 @@
 const POOLED_HALF_LIFE: Nanos = 6 * SECOND;
 /// An instance gives half its evidence to one peer this often, if it has traffic.
 const TELL_EVERY: Nanos = SECOND;
+/// Memory of how late all servers' answers are.
+const LAG_HALF_LIFE: Nanos = 700 * MS;
 /// One sample says at most this much (log of a latency ratio): work is heavy-tailed.
 const SAMPLE_CLIP: f64 = 2.5;
 /// Bounds of the learned factor on a server's listed size.
@@ -73,6 +75,7 @@
         if !ok && gap < 0.0 {
             return;
         }
+        self.lag.add(now, LAG_HALF_LIFE, gap, 1.0);
         self.add_evidence(now, s, gap, 1.0);
     }
 
@@ -95,7 +98,7 @@
     /// Mean log latency ratio of a server's samples, drawn to 0 by the prior.
     fn slowness(&self, server: &Server, now: Nanos) -> f64 {
         let (prior, half_life) = self.speed_memory();
-        server.slow_sum.get(now, half_life) / (server.slow_count.get(now, half_life) + prior)
+        server.slow.get(now, half_life, prior)
     }
 
     fn speed_memory(&self) -> (f64, Nanos) {
@@ -105,9 +108,7 @@
 
     fn add_evidence(&mut self, now: Nanos, s: usize, sum: f64, count: f64) {
         let half_life = self.speed_memory().1;
-        let server = &mut self.servers[s];
-        server.slow_sum.add(now, half_life, sum);
-        server.slow_count.add(now, half_life, count);
+        self.servers[s].slow.add(now, half_life, sum, count);
     }
 
     /// Gives half of what this instance knows to a random peer. Danger: a trickle shows no
@@ -132,7 +133,7 @@
         for i in 0..n {
             let at = self.order[(from + i) % n];
             let server = &self.servers[at];
-            let halves = [server.slow_sum, server.slow_count].map(|f| f.get(now, half_life) / 2.0);
+            let halves = [server.slow.sum, server.slow.count].map(|f| f.get(now, half_life) / 2.0);
             let ([sum, count], id, leaving) = (halves, server.listed.id, server.leaving());
             if count > 0.05 && !leaving && told.servers.len() < room {
                 told.servers.push((id, sum, count));
@@ -158,6 +159,11 @@
         }
     }
 
+    /// What half of a class's answers take now: its typical latency by how late all are.
+    pub(super) fn typical_now(&self, now: Nanos, class: usize) -> f64 {
+        self.typical_of(class) * self.lag.get(now, LAG_HALF_LIFE, SPEED_PRIOR).exp()
+    }
+
     /// Typical latency of a class; a part of its aim until one was seen.
     pub(super) fn typical_of(&self, class: usize) -> f64 {
         self.typical[class].map_or(self.set.classes[class].aim as f64 * 0.3, f64::exp)
--- a/crates/balancer/src/fading.rs
+++ b/crates/balancer/src/fading.rs
@@ -27,3 +27,25 @@
         *self = Fading { sum: 1.0 - missing.get(now, half_life), at: now };
     }
 }
+
+/// A mean whose parts lose half their weight in a given time.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct FadingMean {
+    /// The sum of the samples.
+    pub sum: Fading,
+    /// How many there were.
+    pub count: Fading,
+}
+
+impl FadingMean {
+    /// Adds samples now, by their sum and count; less than none takes some away.
+    pub fn add(&mut self, now: Nanos, half_life: Nanos, sum: f64, count: f64) {
+        self.sum.add(now, half_life, sum);
+        self.count.add(now, half_life, count);
+    }
+
+    /// The mean now, drawn to 0 by so many samples of that.
+    pub fn get(&self, now: Nanos, half_life: Nanos, prior: f64) -> f64 {
+        self.sum.get(now, half_life) / (self.count.get(now, half_life) + prior)
+    }
+}
--- a/crates/balancer/src/record.rs
+++ b/crates/balancer/src/record.rs
@@ -49,3 +49,21 @@
         !self.finished && self.attempts.iter().filter(|a| a.out()).count() == 1
     }
 }
+
+/// What may be done with a request now.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Legal {
+    /// Another attempt may go out.
+    pub send: bool,
+    /// It must go to the group of this server.
+    pub group_of: Option<ServerId>,
+    /// It may be refused; otherwise it can only fail.
+    pub refuse: bool,
+}
+
+/// How an attempt ended, whether its request has too, and how long it took.
+pub(crate) type End = (Outcome, bool, Nanos);
+/// An attempt as it teaches speed: its class, the log of its work if known, and its time.
+pub(crate) type Sample = (usize, Option<f64>, Nanos);
+/// Whether a probe went well, and the load report that came with it.
+pub(crate) type Health = (bool, Option<Vec<f64>>);
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,12 +3,17 @@
 //! time. A run is given by its [`Plan`], seed and all, and plays the same every time.
 #![forbid(unsafe_code)]
 
+mod day;
+mod fleet;
+mod lists;
 mod plan;
 mod report;
 mod server;
 mod sidecar;
 mod world;
 
+pub use day::{day, Day};
+pub use fleet::{Burst, Fleet, Hurry, Registry, Release, Restart};
 pub use plan::{Kind, Lab, Plan, Retry, Trouble, CLASSES};
 pub use report::{Report, Span, SLICE};
 pub use world::play;
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -1,5 +1,6 @@
 //! What is played.
 
+use crate::fleet::Fleet;
 use crate::{MS, SECOND};
 use mintshelf_balancer::api::{Effect, Nanos};
 use std::ops::Range;
@@ -106,6 +107,8 @@
     pub cold: Nanos,
     /// See `cold`.
     pub cold_from: f64,
+    /// What the fleet goes through beside that.
+    pub fleet: Fleet,
 }
 
 impl Plan {
@@ -124,6 +127,7 @@
             max_retry_after: 60 * SECOND,
             cold: 0,
             cold_from: 0.3,
+            fleet: Fleet::default(),
         }
     }
 
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -4,6 +4,12 @@
 use mintshelf_balancer::api::Nanos;
 use std::ops::Range;
 
+/// Prices of the fleet's site, each for one at every first try.
+const CONNECT_PRICE: f64 = 0.08;
+const CROSS_PRICE: f64 = 0.02;
+const CALL_PRICE: f64 = 0.05;
+const WASTE_PRICE: f64 = 0.02;
+
 /// What is counted together.
 pub const SLICE: Nanos = SECOND / 10;
 
@@ -32,6 +38,14 @@
     pub failed: u64,
     /// Clients told to come back in this slice.
     pub told: u64,
+    /// First tries.
+    pub first: u64,
+    /// Attempts to a server of another zone.
+    pub crossed: u64,
+    /// Calls for lists.
+    pub calls: u64,
+    /// Work that was done for nobody, against a usual first try's.
+    pub wasted: f64,
 }
 
 /// All that is known of a run.
@@ -47,6 +61,12 @@
     pub unruly: u64,
     /// Servers that were pushed over while they were cold.
     pub fallen: u64,
+    /// Sends to a server later than the rule on drains allows.
+    pub undrained: u64,
+    /// Requests that were open at a sidecar when it was killed.
+    pub cut: u64,
+    /// Connections opened to each server, by whole seconds.
+    pub connects: Vec<Vec<u32>>,
     /// Two runs with the same digest went the same way.
     pub digest: u64,
 }
@@ -63,6 +83,36 @@
         self.seconds(seconds).iter().map(of).sum()
     }
 
+    /// Worth earned over worth asked for, from a second on to another.
+    pub fn share(&self, seconds: Range<u64>) -> f64 {
+        self.sum(seconds.clone(), |s| s.earned) / self.sum(seconds, |s| s.asked).max(1e-9)
+    }
+
+    /// What the side effects of some seconds cost, as the fleet's page counts it: a share of
+    /// the worth asked for.
+    pub fn price(&self, seconds: Range<u64>) -> [f64; 4] {
+        let first = self.sum(seconds.clone(), |s| s.first as f64).max(1e-9);
+        let per_try =
+            |price: f64, of: &dyn Fn(&Span) -> f64| price * self.sum(seconds.clone(), of) / first;
+        [
+            per_try(CONNECT_PRICE, &|s| s.connects as f64),
+            per_try(CROSS_PRICE, &|s| s.crossed as f64),
+            per_try(CALL_PRICE, &|s| s.calls as f64),
+            per_try(WASTE_PRICE, &|s| s.wasted),
+        ]
+    }
+
+    /// The most connections opened to any one server in any one of some seconds.
+    pub fn most_connects(&self, seconds: Range<u64>) -> u32 {
+        let of = |server: &Vec<u32>| {
+            let seconds = seconds.start as usize..seconds.end as usize;
+            server
+                .get(seconds.start..seconds.end.min(server.len()))
+                .map_or(0, |part| part.iter().copied().max().unwrap_or(0))
+        };
+        self.connects.iter().map(of).max().unwrap_or(0)
+    }
+
     /// The most of any second (any ten slices in a row) from one on, as a multiple of the
     /// mean of the calm seconds `calm`.
     pub fn peak(&self, calm: Range<u64>, from: u64, of: impl Fn(&Span) -> f64) -> f64 {
--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -62,6 +62,12 @@
     /// What it was sent, and since when that is too much.
     load: Fading,
     over_since: Option<Nanos>,
+    thrash: Option<(f64, f64)>,
+    queued: usize,
+    /// It turns all that is new away.
+    pub draining: bool,
+    /// Its zone.
+    pub zone: u32,
 }
 
 /// Mean work of a request, in the classes' own units.
@@ -79,7 +85,7 @@
 
 impl Server {
     /// One that has been up for long.
-    pub fn new(plan: &Plan) -> Self {
+    pub fn new(plan: &Plan, zone: u32) -> Self {
         Server {
             places: scale(plan).0,
             running: HashMap::new(),
@@ -91,6 +97,10 @@
             cold_from: plan.cold_from,
             load: Fading::default(),
             over_since: None,
+            thrash: plan.fleet.thrash,
+            queued: if plan.fleet.queue > 0 { plan.fleet.queue } else { QUEUE },
+            draining: false,
+            zone,
         }
     }
 
@@ -139,7 +149,9 @@
             .iter()
             .map(|(_, kind)| if let Kind::Slow(by) = kind { *by } else { 1.0 })
             .product();
-        let takes = job.work as f64 * slow / self.warmth(now);
+        let held = (self.running.len() + self.queue.len()) as f64 / self.places as f64;
+        let crowd = self.thrash.map_or(1.0, |(from, by)| 1.0 + by * (held - from).max(0.0));
+        let takes = job.work as f64 * slow * crowd / self.warmth(now);
         self.running.insert(self.last, job);
         (self.last, now + takes as Nanos)
     }
@@ -152,6 +164,9 @@
         if self.is_silent() {
             return Arrived::Nothing;
         }
+        if self.draining {
+            return Arrived::Full;
+        }
         self.load.add(now, HALF_LIFE, job.work as f64);
         let able = self.places as f64 * self.warmth(now);
         let too_much = self.warmth(now) < 1.0 && self.load.sum / MEMORY > FALL_MULTIPLE * able;
@@ -159,7 +174,7 @@
         if self.running.len() < self.places {
             let (number, at) = self.begin(now, job);
             Arrived::Starts(number, at)
-        } else if self.queue.len() < self.places * QUEUE {
+        } else if self.queue.len() < self.places * self.queued {
             self.queue.push_back(job);
             Arrived::Waits
         } else {
--- a/crates/rig/src/sidecar.rs
+++ b/crates/rig/src/sidecar.rs
@@ -10,6 +10,9 @@
 
 /// Most attempts of one request.
 const MAX_ATTEMPTS: u32 = 3;
+/// Idle connections that it keeps to a server, and for how long.
+const IDLE_MAX: usize = 16;
+const IDLE_FOR: Nanos = 12 * SECOND;
 /// Longest wait for a connection.
 pub const CONNECT_TIMEOUT: Nanos = 200 * MS;
 
@@ -38,6 +41,8 @@
     Timer { at: Nanos, token: u64 },
     /// Closes idle connections.
     CloseIdle { server: ServerId },
+    /// Calls the source of lists, to watch it.
+    Watch,
 }
 
 struct Attempt {
@@ -62,12 +67,25 @@
     taken: HashMap<RequestId, Taken>,
     events: VecDeque<Event>,
     last: u64,
-    /// Idle connections, by server.
-    pub idle: Vec<u32>,
+    /// Idle connections, by server: since when each has rested.
+    pub idle: Vec<Vec<Nanos>>,
+    /// When it was told that a server drains or is gone.
+    pub told: HashMap<ServerId, Nanos>,
     /// Sends that broke a rule: another was out, or too many.
     pub unruly: u64,
 }
 
+/// Prices of the fleet's site.
+const PRICES: Prices = Prices {
+    cross_zone: 0.02,
+    waste: 0.02,
+    handshake: 0.08,
+    connection: 0.0,
+    probe: 0.0,
+    peer: 0.0,
+    late_fail: 0.03,
+};
+
 fn settings(plan: &Plan, number: usize) -> Settings {
     let class = |lab: &crate::plan::Lab| Class {
         effect: lab.effect,
@@ -83,7 +101,11 @@
     Settings {
         self_index: number as u32,
         instances: plan.sidecars as u32,
-        zones: 1,
+        zone: number as u32 % plan.fleet.zones.max(1),
+        zones: plan.fleet.zones.max(1),
+        must_ask: plan.fleet.registry.is_some(),
+        ask_within: 10 * SECOND,
+        prices: if plan.fleet.prices { PRICES } else { Prices::default() },
         kinds: 1,
         classes: CLASSES.iter().map(class).collect(),
         size_kind: SizeKind::Nominal,
@@ -109,35 +131,91 @@
 }
 
 impl Sidecar {
-    /// One that knows all servers.
-    pub fn new(plan: &Plan, number: usize, deeds: &mut Vec<Deed>) -> Self {
+    /// One that is told of servers at its start; `life` counts its starts.
+    pub fn new(
+        plan: &Plan,
+        number: usize,
+        life: u64,
+        now: Nanos,
+        known: &[ListedServer],
+        deeds: &mut Vec<Deed>,
+    ) -> Self {
         let seed = plan.seed.wrapping_mul(1_000_003).wrapping_add(number as u64);
+        let seed = seed.wrapping_add(life << 40);
         let mut actions = Vec::new();
-        let balancer = Balancer::new(settings(plan, number), seed, SECOND, &mut actions);
+        let balancer = Balancer::new(settings(plan, number), seed, now, &mut actions);
         let recovery = plan.ramp.map(|ramp| Recovery::new(seed, ramp, plan.max_retry_after));
         let mut sidecar = Sidecar {
             balancer,
             recovery,
             taken: HashMap::new(),
             events: VecDeque::new(),
-            last: 0,
-            idle: vec![0; plan.servers],
+            last: life << 32,
+            idle: vec![Vec::new(); plan.servers],
+            told: HashMap::new(),
             unruly: 0,
         };
-        sidecar.perform(SECOND, actions, deeds);
-        let listed = |id| ListedServer { id, size: 1.0, ..ListedServer::default() };
-        let entries: Vec<ListedServer> = (0..plan.servers as ServerId).map(listed).collect();
-        let list = Event::Servers { kind: ListKind::Full, version: 1, entries: entries.into() };
-        sidecar.post(SECOND, list, deeds);
+        sidecar.perform(now, actions, deeds);
+        let asks = plan.fleet.registry.is_some();
+        let kind = if asks { ListKind::Cached } else { ListKind::Full };
+        sidecar.listed(now, kind, known, deeds);
         sidecar
     }
 
+    /// News of servers.
+    pub fn listed(
+        &mut self,
+        now: Nanos,
+        kind: ListKind,
+        entries: &[ListedServer],
+        deeds: &mut Vec<Deed>,
+    ) {
+        for entry in entries {
+            match entry.condition {
+                Condition::Live => drop(self.told.remove(&entry.id)),
+                _ => drop(self.told.entry(entry.id).or_insert(now)),
+            }
+        }
+        let list = Event::Servers { kind, version: 1, entries: entries.into() };
+        self.post(now, list, deeds);
+    }
+
+    /// Takes an idle connection to a server, the one used last; none if all have rested for
+    /// too long.
+    pub fn take_idle(&mut self, now: Nanos, server: usize) -> bool {
+        let Some(idle) = self.idle.get_mut(server) else { return false };
+        if idle.last().is_some_and(|since| now - since > IDLE_FOR) {
+            idle.clear();
+        }
+        idle.pop().is_some()
+    }
+
+    /// Keeps a connection that carries nothing.
+    pub fn rest(&mut self, now: Nanos, server: usize) {
+        if self.idle.len() <= server {
+            self.idle.resize(server + 1, Vec::new());
+        }
+        let idle = &mut self.idle[server];
+        if idle.len() < IDLE_MAX {
+            idle.push(now);
+        }
+    }
+
+    /// The clients whose requests are open here.
+    pub fn open_clients(&self) -> Vec<usize> {
+        let open = self.taken.values().filter(|taken| taken.open);
+        let mut clients: Vec<usize> = open.map(|taken| taken.client).collect();
+        clients.sort_unstable();
+        clients
+    }
+
     /// A client's try; its id, if it is taken on.
     pub fn serve(
         &mut self,
         now: Nanos,
         client: usize,
         class: usize,
+        patience: Nanos,
         deeds: &mut Vec<Deed>,
     ) -> Option<RequestId> {
         if self.recovery.as_mut().is_some_and(|recovery| !recovery.pace.admit(now)) {
@@ -147,7 +225,6 @@
         }
         self.last += 1;
         let id: RequestId = self.last.to_string().into();
-        let patience = CLASSES[class].deadline;
         let deadline = now + patience;
         let taken = Taken { client, class, deadline, open: true, attempts: Vec::new() };
         self.taken.insert(id.clone(), taken);
@@ -250,6 +327,7 @@
                     deeds.push(Deed::Timer { at: now + after, token })
                 }
                 Action::CloseIdle { server } => deeds.push(Deed::CloseIdle { server }),
+                Action::Watch { on: true } => deeds.push(Deed::Watch),
                 // A dropped timer that fires does nothing; the rest is off in these settings.
                 Action::DropTimer { .. }
                 | Action::Probe { .. }
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -1,12 +1,16 @@
 //! Plays a plan: what happens, in order.
 
+use crate::lists::Lists;
 use crate::plan::{Kind, Plan, Retry, CLASSES, WINDOW};
 use crate::report::{Report, Span, SLICE};
 use crate::server::{mean_work, scale, Arrived, Job, Server, WAY};
 use crate::sidecar::{Deed, Reply, Sidecar, CONNECT_TIMEOUT};
 use crate::{MS, SECOND};
-use mintshelf_balancer::api::{Effect, Nanos, Outcome, RequestId, ServerId};
+use mintshelf_balancer::api::{
+    Condition, Effect, ListKind, ListedServer, Nanos, Outcome, RequestId, ServerId,
+};
 use rand_core::{RngCore, SeedableRng};
+use rand_distr::{Distribution, LogNormal};
 use rand_pcg::Pcg64Mcg;
 use std::cmp::{Ordering, Reverse};
 use std::collections::{BinaryHeap, HashMap};
@@ -19,22 +23,62 @@
 const SLACK: Nanos = 100 * MS;
 /// A server that fell over is back after this.
 const DOWN_FOR: Nanos = 3 * SECOND;
-/// Idle connections that a sidecar keeps to a server.
-const IDLE_MAX: u32 = 16;
+/// The rule on drains, with its slack.
+const DRAIN_GRACE: Nanos = 250 * MS + 50 * MS;
 /// The pause of one that honours advice and had none.
 const UNTOLD: Nanos = 100 * MS;
 
 enum Happens {
     Fresh,
     Try(usize),
-    Tired { client: usize, tries: u32 },
-    Arrives { server: usize, job: Job },
-    Done { server: usize, number: u64 },
-    Ends { sidecar: usize, id: RequestId, attempt: u32, outcome: Outcome },
-    Timer { sidecar: usize, token: u64 },
+    Tired {
+        client: usize,
+        tries: u32,
+    },
+    Arrives {
+        server: usize,
+        job: Job,
+    },
+    Done {
+        server: usize,
+        number: u64,
+    },
+    Ends {
+        sidecar: usize,
+        id: RequestId,
+        attempt: u32,
+        outcome: Outcome,
+    },
+    Timer {
+        sidecar: usize,
+        life: u64,
+        token: u64,
+    },
     Begins(usize),
     Over(usize),
-    Rises { server: usize },
+    Rises {
+        server: usize,
+    },
+    Killed(usize),
+    Returns(usize),
+    /// A call for the list is answered, or has failed.
+    Called {
+        sidecar: usize,
+        life: u64,
+        well: bool,
+    },
+    Told {
+        sidecar: usize,
+        life: u64,
+        entry: ListedServer,
+    },
+    /// The source of lists hears of a change.
+    Heard(ListedServer),
+    Drains(usize),
+    Leaves(usize),
+    Born {
+        old: usize,
+    },
 }
 
 struct Entry {
@@ -74,6 +118,8 @@
     id: Option<RequestId>,
     /// How often its effect happened.
     runs: u32,
+    /// What part of the class's aim it waits, where it is in a hurry.
+    hurry: Option<f64>,
 }
 
 struct World<'a> {
@@ -84,6 +130,13 @@
     rng: Pcg64Mcg,
     sidecars: Vec<Sidecar>,
     servers: Vec<Server>,
+    /// How often each sidecar has started, and until when it is away.
+    lives: Vec<(u64, Nanos)>,
+    /// The traffic of the sidecars up to each.
+    busy: Vec<f64>,
+    lists: Option<Lists>,
+    /// Work spread by a heavy tail, with mean 1.
+    tail: Option<LogNormal<f64>>,
     clients: Vec<Client>,
     /// When a keyed request first ran, as all servers know together.
     seen: HashMap<usize, Nanos>,
@@ -92,10 +145,35 @@
     report: Report,
 }
 
+/// How a server is listed.
+fn entry(id: usize, zone: u32, condition: Condition, started_at: Nanos) -> ListedServer {
+    let id = id as ServerId;
+    ListedServer { id, zone, condition, size: 1.0, started_at, ..ListedServer::default() }
+}
+
+/// The traffic of the sidecars up to each: spread over powers of ten, in no order.
+fn busy(plan: &Plan) -> Vec<f64> {
+    const ROOT: f64 = 0.414_213_562_373_095;
+    let weight = |k: usize| 10f64.powf(plan.fleet.uneven * (k as f64 * ROOT).fract());
+    let mut sum = 0.0;
+    (0..plan.sidecars)
+        .map(|k| {
+            sum += weight(k);
+            sum
+        })
+        .collect()
+}
+
 /// Plays a plan to its end.
 pub fn play(plan: &Plan) -> Report {
     let slices = (plan.length / SLICE) as usize;
     let mut deeds = Vec::new();
+    let sigma = plan.fleet.tail;
+    let zones = plan.fleet.zones.max(1);
+    let zone = |server: usize| server as u32 % zones;
+    let known: Vec<ListedServer> =
+        (0..plan.servers).map(|id| entry(id, zone(id), Condition::Live, 0)).collect();
+    let lists = plan.fleet.registry.map(|spec| Lists::new(spec, plan.sidecars, &known));
     let mut world = World {
         plan,
         now: BEGIN,
@@ -103,14 +181,18 @@
         last: 0,
         rng: Pcg64Mcg::seed_from_u64(plan.seed),
         sidecars: Vec::new(),
-        servers: (0..plan.servers).map(|_| Server::new(plan)).collect(),
+        servers: (0..plan.servers).map(|id| Server::new(plan, zone(id))).collect(),
+        lives: vec![(0, 0); plan.sidecars],
+        busy: busy(plan),
+        lists,
+        tail: (sigma > 0.0).then(|| LogNormal::new(-sigma * sigma / 2.0, sigma).ok()).flatten(),
         clients: Vec::new(),
         seen: HashMap::new(),
         unit: scale(plan).1,
         report: Report { spans: vec![Span::default(); slices], ..Report::default() },
     };
     for number in 0..plan.sidecars {
-        let sidecar = Sidecar::new(plan, number, &mut deeds);
+        let sidecar = Sidecar::new(plan, number, 0, BEGIN, &known, &mut deeds);
         world.sidecars.push(sidecar);
         world.carry_out(number, &mut deeds);
     }
@@ -118,6 +200,23 @@
         world.at(BEGIN + trouble.from, Happens::Begins(number));
         world.at(BEGIN + trouble.until, Happens::Over(number));
     }
+    for restart in &plan.fleet.restarts {
+        for sidecar in restart.sidecars.clone() {
+            world.at(BEGIN + restart.at, Happens::Killed(sidecar));
+            world.at(BEGIN + restart.at + restart.down, Happens::Returns(sidecar));
+        }
+    }
+    for release in &plan.fleet.releases {
+        let (steps, all) = (release.steps.max(1), release.servers.len());
+        let span = release.until.saturating_sub(release.from);
+        for (at, server) in release.servers.clone().enumerate() {
+            let step = (at * steps / all.max(1)) as u64;
+            let begins = BEGIN + release.from + span * step / (steps as u64 - 1).max(1);
+            world.at(begins, Happens::Drains(server));
+            world.at(begins + release.drain, Happens::Leaves(server));
+            world.at(begins + release.start, Happens::Born { old: server });
+        }
+    }
     world.at(BEGIN, Happens::Fresh);
     while let Some(Reverse(entry)) = world.events.pop() {
         if entry.at >= BEGIN + plan.length {
@@ -178,11 +277,17 @@
             Happens::Arrives { server, job } => self.arrive(server, job),
             Happens::Done { server, number } => self.done(server, number),
             Happens::Ends { sidecar, id, attempt, outcome } => {
+                if self.now < self.lives[sidecar].1 {
+                    return;
+                }
                 self.digest(u64::from(attempt) << 8 | outcome as u64);
                 self.sidecars[sidecar].ended(self.now, &id, attempt, outcome, &mut deeds);
                 self.carry_out(sidecar, &mut deeds);
             }
-            Happens::Timer { sidecar, token } => {
+            Happens::Timer { sidecar, life, token } => {
+                if self.lives[sidecar].0 != life {
+                    return;
+                }
                 self.sidecars[sidecar].timer(self.now, token, &mut deeds);
                 self.carry_out(sidecar, &mut deeds);
             }
@@ -192,6 +297,7 @@
                     self.servers[server].troubles.push((number, trouble.kind));
                     if trouble.kind == Kind::Crash {
                         self.crash(server);
+                        self.listed_soon(server, Condition::Gone, 0);
                     }
                 }
             }
@@ -201,6 +307,7 @@
                     self.servers[server].troubles.retain(|(n, _)| *n != number);
                     if trouble.kind == Kind::Crash && !self.servers[server].is_gone() {
                         self.servers[server].start(self.now);
+                        self.listed_soon(server, Condition::Live, self.now);
                     }
                 }
             }
@@ -208,13 +315,111 @@
                 self.servers[server].troubles.retain(|(n, _)| *n != usize::MAX);
                 self.servers[server].start(self.now);
             }
+            Happens::Killed(sidecar) => self.killed(sidecar),
+            Happens::Returns(sidecar) => self.returns(sidecar),
+            Happens::Called { sidecar, life, well } => self.called(sidecar, life, well),
+            Happens::Told { sidecar, life, entry } => {
+                if self.lives[sidecar].0 == life {
+                    let (now, kind) = (self.now, ListKind::Changes);
+                    self.sidecars[sidecar].listed(now, kind, &[entry], &mut deeds);
+                    self.carry_out(sidecar, &mut deeds);
+                }
+            }
+            Happens::Heard(entry) => self.heard(entry),
+            Happens::Drains(server) => {
+                self.servers[server].draining = true;
+                self.listed_soon(server, Condition::Draining, 0);
+            }
+            Happens::Leaves(server) => {
+                self.servers[server].troubles.push((usize::MAX - 1, Kind::Crash));
+                self.crash(server);
+                self.listed_soon(server, Condition::Gone, 0);
+            }
+            Happens::Born { old } => {
+                let zone = self.servers[old].zone;
+                self.servers.push(Server::new(self.plan, zone));
+                let server = self.servers.len() - 1;
+                self.servers[server].start(self.now);
+                self.listed_soon(server, Condition::Live, self.now);
+            }
         }
     }
 
+    // ----------------------------------------------------------------- fleet
+
+    /// The source of lists hears of a server in a while.
+    fn listed_soon(&mut self, server: usize, condition: Condition, started_at: Nanos) {
+        let drawn = self.draw();
+        let Some(lists) = &self.lists else { return };
+        let after = lists.notice(drawn);
+        let entry = entry(server, self.servers[server].zone, condition, started_at);
+        self.at(self.now + after, Happens::Heard(entry));
+    }
+
+    fn heard(&mut self, entry: ListedServer) {
+        let Some(lists) = &mut self.lists else { return };
+        for (sidecar, later) in lists.change(entry.clone()) {
+            let (life, entry) = (self.lives[sidecar].0, entry.clone());
+            self.at(self.now + later, Happens::Told { sidecar, life, entry });
+        }
+    }
+
+    fn called(&mut self, sidecar: usize, life: u64, well: bool) {
+        if self.lives[sidecar].0 != life {
+            return;
+        }
+        let Some(lists) = &mut self.lists else { return };
+        lists.watch(sidecar, well);
+        let (kind, whole) = match well {
+            true => (ListKind::Full, lists.whole()),
+            false => (ListKind::Failed, Vec::new()),
+        };
+        let mut deeds = Vec::new();
+        self.sidecars[sidecar].listed(self.now, kind, &whole, &mut deeds);
+        self.carry_out(sidecar, &mut deeds);
+    }
+
+    /// What it held breaks off; its clients come again once it is back.
+    fn killed(&mut self, sidecar: usize) {
+        let restarts = self.plan.fleet.restarts.iter();
+        let mine = restarts.filter(|restart| restart.sidecars.contains(&sidecar));
+        let back = mine.map(|restart| BEGIN + restart.at + restart.down);
+        let back = back.filter(|back| *back >= self.now).min().unwrap_or(self.now);
+        self.lives[sidecar] = (self.lives[sidecar].0 + 1, back);
+        for client in self.sidecars[sidecar].open_clients() {
+            let of = &mut self.clients[client];
+            (of.open, of.id) = (false, None);
+            self.report.cut += 1;
+            if CLASSES[of.class].effect != Effect::Unsafe && of.tries <= MORE_TRIES {
+                let pause = (self.draw() * UNTOLD as f64) as Nanos;
+                self.at(back + pause, Happens::Try(client));
+            }
+        }
+        if let Some(lists) = &mut self.lists {
+            lists.watch(sidecar, false);
+        }
+    }
+
+    /// It starts with the list that it had: the first one, as far as that still holds.
+    fn returns(&mut self, sidecar: usize) {
+        let known: Vec<ListedServer> = (0..self.plan.servers)
+            .map(|id| entry(id, self.servers[id].zone, Condition::Live, 0))
+            .collect();
+        let mut deeds = Vec::new();
+        let life = self.lives[sidecar].0;
+        let fresh = Sidecar::new(self.plan, sidecar, life, self.now, &known, &mut deeds);
+        self.report.unruly += std::mem::replace(&mut self.sidecars[sidecar], fresh).unruly;
+        self.carry_out(sidecar, &mut deeds);
+    }
+
     // --------------------------------------------------------------- clients
 
     fn fresh(&mut self) {
-        let gap = -(1.0 - self.draw()).ln() / self.plan.rate * SECOND as f64;
+        let since = self.now - BEGIN;
+        let burst = self.plan.fleet.burst.as_ref();
+        let burst = burst.filter(|burst| (burst.from..burst.until).contains(&since));
+        let rate = self.plan.rate * burst.map_or(1.0, |burst| burst.times);
+        let gap = -(1.0 - self.draw()).ln() / rate * SECOND as f64;
         self.at(self.now + gap as Nanos, Happens::Fresh);
         let drawn = self.draw();
         let mut class = 0;
@@ -223,23 +428,45 @@
             class += 1;
             up_to += CLASSES[class].share;
         }
-        let sidecar = (self.draw() * self.plan.sidecars as f64) as usize;
+        let at = self.draw() * self.busy.last().copied().unwrap_or(0.0);
+        let sidecar = self.busy.partition_point(|sum| *sum <= at).min(self.plan.sidecars - 1);
+        if self.now < self.lives[sidecar].1 {
+            // Its application waits for it, and has sent nothing.
+            return;
+        }
+        let hurry = self.plan.fleet.hurry.clone();
+        let hurry = hurry.filter(|hurry| (hurry.from..hurry.until).contains(&since));
+        let hurry = hurry.and_then(|hurry| {
+            let [least, most] = hurry.waits;
+            let waits = least + self.draw() * (most - least);
+            (self.draw() < hurry.part).then_some(waits)
+        });
         let (born, begun) = (self.now, self.now);
         let (open, id, runs, tries) = (false, None, 0, 0);
-        self.clients.push(Client { class, sidecar, born, begun, tries, open, id, runs });
+        self.clients.push(Client { class, sidecar, born, begun, tries, open, id, runs, hurry });
         self.span().asked += CLASSES[class].worth;
+        self.span().first += 1;
         self.try_once(self.clients.len() - 1);
     }
 
     fn try_once(&mut self, client: usize) {
         let now = self.now;
         let of = &mut self.clients[client];
+        let back = self.lives[of.sidecar].1;
+        if now < back {
+            self.at(back, Happens::Try(client));
+            return;
+        }
         (of.begun, of.open, of.tries) = (now, true, of.tries + 1);
         let (class, sidecar, tries) = (of.class, of.sidecar, of.tries);
+        let patience = match of.hurry {
+            Some(part) => (CLASSES[class].aim as f64 * part) as Nanos,
+            None => CLASSES[class].deadline,
+        };
         self.span().tries += 1;
-        self.at(now + CLASSES[class].deadline + SLACK, Happens::Tired { client, tries });
+        self.at(now + patience + SLACK, Happens::Tired { client, tries });
         let mut deeds = Vec::new();
-        let id = self.sidecars[sidecar].serve(now, client, class, &mut deeds);
+        let id = self.sidecars[sidecar].serve(now, client, class, patience, &mut deeds);
         self.clients[client].id = id;
         self.carry_out(sidecar, &mut deeds);
     }
@@ -307,23 +534,59 @@
                     self.at(self.now, Happens::Ends { sidecar, id, attempt, outcome });
                 }
                 Deed::Reply { client, reply } => self.replied(client, reply),
-                Deed::Timer { at, token } => self.at(at, Happens::Timer { sidecar, token }),
-                Deed::CloseIdle { server } => self.sidecars[sidecar].idle[server as usize] = 0,
+                Deed::Timer { at, token } => {
+                    let life = self.lives[sidecar].0;
+                    self.at(at, Happens::Timer { sidecar, life, token })
+                }
+                Deed::CloseIdle { server } => {
+                    if let Some(idle) = self.sidecars[sidecar].idle.get_mut(server as usize) {
+                        idle.clear();
+                    }
+                }
+                Deed::Watch => {
+                    self.span().calls += 1;
+                    let now = self.now;
+                    let Some(lists) = &mut self.lists else { continue };
+                    let called = lists.call(now);
+                    let (at, well) = called.map_or_else(|at| (at, false), |at| (at, true));
+                    let life = self.lives[sidecar].0;
+                    self.at(at, Happens::Called { sidecar, life, well });
+                }
             }
         }
     }
 
+    /// What one request takes, against the mean of its class.
+    fn spread(&mut self) -> f64 {
+        if let Some(tail) = &self.tail {
+            return tail.sample(&mut self.rng);
+        }
+        // Erlang of two stages: less spread than the exponential, still a tail.
+        let stages = [self.draw(), self.draw()].map(|x| -(1.0 - x).ln() / 2.0);
+        stages[0] + stages[1]
+    }
+
     fn send(&mut self, sidecar: usize, id: RequestId, attempt: u32, to: ServerId, until: Nanos) {
         let server = to as usize;
         let Some((client, class)) = self.sidecars[sidecar].of(&id) else { return };
-        // Erlang of two stages: less spread than the exponential, still a tail.
-        let stages = [self.draw(), self.draw()].map(|x| -(1.0 - x).ln() / 2.0);
-        let work = (CLASSES[class].work * self.unit * (stages[0] + stages[1])) as Nanos;
-        let idle = &mut self.sidecars[sidecar].idle[server];
-        let fresh = *idle == 0;
-        *idle = idle.saturating_sub(1);
+        let work = (CLASSES[class].work * self.unit * self.spread()) as Nanos;
+        let fresh = !self.sidecars[sidecar].take_idle(self.now, server);
+        let told = self.sidecars[sidecar].told.get(&to);
+        let late = told.is_some_and(|told| self.now > told + DRAIN_GRACE);
+        self.report.undrained += u64::from(late);
+        if fresh {
+            let second = ((self.now - BEGIN) / SECOND) as usize;
+            let connects = &mut self.report.connects;
+            connects.resize(connects.len().max(server + 1), Vec::new());
+            let by_second = &mut connects[server];
+            by_second.resize(by_second.len().max(second + 1), 0);
+            by_second[second] += 1;
+        }
+        let zones = self.plan.fleet.zones.max(1);
+        let away = self.servers[server].zone != sidecar as u32 % zones;
         let usual = mean_work();
         let span = self.span();
+        span.crossed += u64::from(away);
         span.attempts += 1;
         span.work += CLASSES[class].work / usual;
         span.connects += u64::from(fresh);
@@ -344,8 +607,7 @@
     fn answer(&mut self, server: usize, job: Job, outcome: Outcome) {
         let Job { sidecar, id, attempt, .. } = job;
         if matches!(outcome, Outcome::Ok | Outcome::Full) {
-            let idle = &mut self.sidecars[sidecar].idle[server];
-            *idle = (*idle + 1).min(IDLE_MAX);
+            self.sidecars[sidecar].rest(self.now, server);
         }
         self.at(self.now + WAY, Happens::Ends { sidecar, id, attempt, outcome });
     }
@@ -393,6 +655,9 @@
         if let Some((number, at)) = next {
             self.started(server, number, at);
         }
+        if !self.clients[job.client].open {
+            self.span().wasted += CLASSES[job.class].work / mean_work();
+        }
         let of = &self.servers[server];
         if !of.hangs(job.class) && !of.is_silent() {
             self.answer(server, job, Outcome::Ok);
@@ -404,11 +669,15 @@
         for job in self.servers[server].lose() {
             self.answer(server, job, Outcome::Reset);
         }
-        self.sidecars.iter_mut().for_each(|sidecar| sidecar.idle[server] = 0);
+        for sidecar in &mut self.sidecars {
+            if let Some(idle) = sidecar.idle.get_mut(server) {
+                idle.clear();
+            }
+        }
     }
 
     fn finish(mut self) -> Report {
-        self.report.unruly = self.sidecars.iter().map(|sidecar| sidecar.unruly).sum();
+        self.report.unruly += self.sidecars.iter().map(|sidecar| sidecar.unruly).sum::<u64>();
         self.report
     }
 }
