--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -31,7 +31,7 @@
     pub tail: f64,
     /// Queue of a server, in multiples of its places; 0 for the rig's usual four.
     pub queue: usize,
-    /// Price of a connection more, for each first try, as the fleet's page counts it.
+    /// Whether sidecars are told the prices of the fleet's site.
     pub prices: bool,
 }
 
