--- a/crates/balancer/tests/jams.rs
+++ b/crates/balancer/tests/jams.rs
@@ -66,7 +66,9 @@
     for seed in 0..20 {
         let mut rig = Rig::with(settings(), 0..6);
         // Draws of its own for each instance.
-        (0..seed).for_each(|n| drop(one(&mut rig, S, &format!("d{n}"), 2 * S, MS, Outcome::Ok)));
+        for n in 0..seed {
+            one(&mut rig, S, &format!("d{n}"), 2 * S, MS, Outcome::Ok);
+        }
         assert_eq!(refused(&mut rig, S, 11 * S, 50 * MS), 0.0);
         jam(&mut rig, 11 * S);
         // All come again and again, as refused clients do.
