One piece where the fleet's rig, its tests and the module's had two

The power of e for clients in a hurry was computed for every request; two tests built the same event by hand and one shadowed the shared 'refused'; /proc's stat and status were parsed in two places each; the rig had the first list, the zone of a number, the closing of idle connections and the uniform draw twice, looked up a sidecar's return that its event can carry, and kept connections by server for nobody. Change: each once (testkit status, ended_after, known, Fleet::zone, close_idle, uniform); spans as ranges; an unused default gone; the mass restart's test now reads the connections by server.

--- a/crates/balancer/src/decide/admission.rs
+++ b/crates/balancer/src/decide/admission.rs
@@ -105,9 +105,9 @@
     pub(super) fn hopeless(&self, now: Nanos, request: &Request) -> bool {
         let class = &self.set.classes[request.class];
         let left = request.deadline.saturating_sub(now);
-        let needs = self.typical_now(now, request.class) * (HASTE * self.refuse_level).exp();
         let taught = self.taught[request.class] > 9.0;
-        if taught && left < class.aim && (left as f64) < needs {
+        let needs = || self.typical_now(now, request.class) * (HASTE * self.refuse_level).exp();
+        if taught && left < class.aim && (left as f64) < needs() {
             return true;
         }
         let best = self.kind_offset[request.class].iter().copied().fold(f64::INFINITY, f64::min);
--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -93,6 +93,12 @@
     Event::AttemptEnded { id, attempt, outcome, finished, took, server, report }
 }
 
+/// The end of a request's first and last attempt.
+pub fn ended_after(took: Nanos, id: &str, server: ServerId, outcome: Outcome) -> Event {
+    let (id, attempt, finished, report) = (Arc::from(id), 0, true, None);
+    Event::AttemptEnded { id, attempt, outcome, finished, took, server, report }
+}
+
 /// An instance with its actions.
 pub struct Rig {
     pub balancer: Balancer,
--- a/crates/balancer/tests/jams.rs
+++ b/crates/balancer/tests/jams.rs
@@ -9,21 +9,12 @@
 fn one(rig: &mut Rig, now: Nanos, id: &str, patience: Nanos, took: Nanos, end: Outcome) -> bool {
     let actions = rig.feed(now, request(id, 0, patience));
     let Some(&server) = sends(&actions).first() else { return false };
-    let end = Event::AttemptEnded {
-        id: id.into(),
-        attempt: 0,
-        server,
-        outcome: end,
-        finished: true,
-        took,
-        report: None,
-    };
-    rig.feed(now + took, end);
+    rig.feed(now + took, ended_after(took, id, server, end));
     true
 }
 
 /// Requests at `gap` from one time to another, all served in 20 ms; which part was refused.
-fn refused(rig: &mut Rig, from: Nanos, until: Nanos, gap: Nanos) -> f64 {
+fn refused_share(rig: &mut Rig, from: Nanos, until: Nanos, gap: Nanos) -> f64 {
     let (mut all, mut not_sent) = (0, 0);
     for now in (from..until).step_by(gap as usize) {
         all += 1;
@@ -40,16 +31,8 @@
     for n in 0..160 + WAITS {
         let now = from + n as Nanos * 25 * MS;
         if let Some(&Some(server)) = n.checked_sub(WAITS).and_then(|n| sent.get(n)) {
-            let end = Event::AttemptEnded {
-                id: format!("j{}", n - WAITS).into(),
-                attempt: 0,
-                server,
-                outcome: Outcome::TimedOut,
-                finished: true,
-                took: 300 * MS,
-                report: None,
-            };
-            rig.feed(now, end);
+            let id = format!("j{}", n - WAITS);
+            rig.feed(now, ended_after(300 * MS, &id, server, Outcome::TimedOut));
         }
         if n < 160 {
             let actions = rig.feed(now, request(&format!("j{n}"), 0, 300 * MS));
@@ -69,13 +52,13 @@
         for n in 0..seed {
             one(&mut rig, S, &format!("d{n}"), 2 * S, MS, Outcome::Ok);
         }
-        assert_eq!(refused(&mut rig, S, 11 * S, 50 * MS), 0.0);
+        assert_eq!(refused_share(&mut rig, S, 11 * S, 50 * MS), 0.0);
         jam(&mut rig, 11 * S);
         // All come again and again, as refused clients do.
         let often = 25 * MS / 2;
-        during += refused(&mut rig, 15_300 * MS, 16_300 * MS, often) / 20.0;
-        refused(&mut rig, 16_300 * MS, 17 * S, often);
-        later += refused(&mut rig, 17 * S, 18 * S, often) / 20.0;
+        during += refused_share(&mut rig, 15_300 * MS, 16_300 * MS, often) / 20.0;
+        refused_share(&mut rig, 16_300 * MS, 17 * S, often);
+        later += refused_share(&mut rig, 17 * S, 18 * S, often) / 20.0;
     }
     assert!(during > 0.4, "a jam goes unseen: {during}");
     assert!(later < 0.1, "refused seconds later: {later}");
@@ -92,10 +75,7 @@
     }
     let hurried = |rig: &mut Rig, id: &str, patience| {
         let actions = rig.feed(4 * S, request(id, 0, patience));
-        match sends(&actions).is_empty() {
-            true => actions.iter().any(|a| matches!(a, Action::Refuse { .. })),
-            false => false,
-        }
+        refused(&actions) && sends(&actions).is_empty()
     };
     assert!(hurried(&mut rig, "x", 40 * MS), "half of what answers take");
     assert!(!hurried(&mut rig, "y", 160 * MS), "twice what they take");
--- a/crates/mintshelf/tests/confined.rs
+++ b/crates/mintshelf/tests/confined.rs
@@ -54,28 +54,19 @@
     })
 }
 
-/// The number after a field's name in `/proc/PID/status`.
-fn status(pid: u32, field: &str) -> u64 {
-    let text = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
-    let line = text.lines().find_map(|line| line.strip_prefix(field)).unwrap();
-    line.trim().parse().unwrap()
-}
-
-/// The fields of `/proc/PID/stat` from the process's state on (the third field).
-fn stat(pid: u32) -> Vec<String> {
-    let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap();
-    let rest = text.rsplit_once(") ").unwrap().1;
-    rest.split_whitespace().map(str::to_string).collect()
+/// The fields of `/proc/PID/stat` from the process's state on (the third field); none if it has
+/// ended.
+fn stat(pid: u32) -> Option<Vec<String>> {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    let (_, rest) = text.rsplit_once(") ")?;
+    Some(rest.split_whitespace().map(str::to_string).collect())
 }
 
 fn children(pid: u32) -> Vec<u32> {
     let entries = std::fs::read_dir("/proc").unwrap().flatten();
     let pids = entries.filter_map(|entry| entry.file_name().to_str()?.parse::<u32>().ok());
-    let parent = |of: &u32| {
-        let text = std::fs::read_to_string(format!("/proc/{of}/stat")).ok()?;
-        text.rsplit_once(") ")?.1.split_whitespace().nth(1)?.parse::<u32>().ok()
-    };
-    pids.filter(|of| parent(of) == Some(pid)).collect()
+    let parent = pid.to_string();
+    pids.filter(|of| stat(*of).is_some_and(|fields| fields[1] == parent)).collect()
 }
 
 #[test]
@@ -122,10 +113,10 @@
     });
     let pid = sidecar.pid();
     // Every thread of it is under the filter still.
-    assert_eq!(status(pid, "Seccomp:"), 2);
+    assert_eq!(sidecar.status("Seccomp:"), 2);
     assert_eq!(children(pid), Vec::<u32>::new());
     // Page faults of children that it has waited for: none has ever been.
-    assert_eq!(stat(pid)[8..=8], ["0"], "cminflt");
+    assert_eq!(stat(pid).unwrap()[8], "0", "cminflt");
     let fds = std::fs::read_dir(format!("/proc/{pid}/fd")).unwrap().flatten();
     let fds = fds.filter_map(|fd| std::fs::read_link(fd.path()).ok());
     for target in fds.map(|target| target.to_string_lossy().into_owned()) {
--- a/crates/rig/benches/days.rs
+++ b/crates/rig/benches/days.rs
@@ -14,7 +14,8 @@
     println!("{SIDECARS} sidecars, {} servers, seeds {SEEDS:?}, seconds {COUNTED:?}", SIDECARS / 2);
     println!("served: worth in time over worth asked; least: the same in the worst 5 s; then what");
     println!(
-        "connections, crossings, calls for lists and waste cost; refused and late: of all tries\n"
+        "connections, crossings, calls for lists and waste cost; refused: of all tries; twice:\n\
+         effects, and answers lost\n"
     );
     println!(
         "{:<6} {:>4} {:>7} {:>6} {:>7} {:>7} {:>7} {:>7} {:>8} {:>6} {:>5} {:>5} {:>5} {:>6}",
--- a/crates/rig/src/day.rs
+++ b/crates/rig/src/day.rs
@@ -3,8 +3,8 @@
 
 use crate::fleet::{Burst, Fleet, Hurry, Registry, Release, Restart};
 use crate::plan::{Kind, Plan, Retry, Trouble};
-use crate::{MS, SECOND};
-use rand_core::{RngCore, SeedableRng};
+use crate::{uniform, MS, SECOND};
+use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
 /// A kind of day.
@@ -52,10 +52,7 @@
 /// A day of a fleet of so many sidecars, with half as many servers.
 pub fn day(kind: Day, seed: u64, sidecars: usize) -> Plan {
     let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0x666c_6565_745f_6461);
-    let mut draw = |from: f64, to: f64| {
-        let drawn = (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
-        from + drawn * (to - from)
-    };
+    let mut draw = |from: f64, to: f64| from + uniform(&mut rng) * (to - from);
     let span = |seconds: f64| (seconds * SECOND as f64) as u64;
     let servers = (sidecars / 2).max(8);
     let (from, eighth) = (FROM * SECOND, servers / 8);
@@ -103,8 +100,7 @@
     let last = servers - eighth..servers;
     match kind {
         Day::Calm => {
-            let (from, until) = (from, from + 8 * SECOND);
-            plan.fleet.burst = Some(Burst { from, until, times: 1.5 });
+            plan.fleet.burst = Some(Burst { during: from..from + 8 * SECOND, times: 1.5 });
         }
         Day::Roll => {
             plan.fleet.releases.push(release(0.5, 12.0, 8, 3.0, 2.5));
@@ -139,11 +135,11 @@
         Day::Join => {
             plan.fleet.releases.push(release(0.6, 7.0, 2, 6.0, 2.5));
             let waits = [draw(0.05, 0.1), draw(0.25, 0.5)];
-            let (from, until) = (from, from + 8 * SECOND);
-            plan.fleet.hurry = Some(Hurry { from, until, part: draw(0.4, 0.9), waits });
+            let until = from + 8 * SECOND;
+            plan.fleet.hurry = Some(Hurry { during: from..until, part: draw(0.4, 0.9), waits });
             plan.retry = Retry::AtOnce;
-            let (from, until) = (from + 3 * SECOND, from + 8 * SECOND);
-            plan.fleet.burst = Some(Burst { from, until, times: 1.4 });
+            let during = from + 3 * SECOND..until;
+            plan.fleet.burst = Some(Burst { during, times: 1.4 });
         }
     }
     plan
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -1,7 +1,6 @@
 //! What a fleet goes through beside its servers' troubles: releases, restarts, a source of
 //! lists with a bound of its own, traffic spread unevenly, clients in a hurry.
 
-use crate::SECOND;
 use mintshelf_balancer::api::Nanos;
 use std::ops::Range;
 
@@ -35,6 +34,13 @@
     pub prices: bool,
 }
 
+impl Fleet {
+    /// The zone of a sidecar, or of a server that is there from the start.
+    pub(crate) fn zone(&self, number: usize) -> u32 {
+        number as u32 % self.zones.max(1)
+    }
+}
+
 /// Some sidecars are killed at once and start again from nothing.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Restart {
@@ -77,20 +83,11 @@
     pub timeout: Nanos,
 }
 
-impl Default for Registry {
-    fn default() -> Self {
-        let notice = [SECOND / 2, 2 * SECOND];
-        Registry { notice, spread: SECOND / 2, calls_per_s: 200.0, timeout: SECOND }
-    }
-}
-
 /// Some clients give up early and come again at once.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Hurry {
-    /// From when, until when.
-    pub from: Nanos,
-    /// See `from`.
-    pub until: Nanos,
+    /// When.
+    pub during: Range<Nanos>,
     /// Which part of the clients.
     pub part: f64,
     /// What part of their class's aim they wait.
@@ -100,10 +97,8 @@
 /// More traffic.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Burst {
-    /// From when, until when.
-    pub from: Nanos,
-    /// See `from`.
-    pub until: Nanos,
+    /// When.
+    pub during: Range<Nanos>,
     /// How many times as much.
     pub times: f64,
 }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -18,6 +18,11 @@
 pub use report::{Report, Span, SLICE};
 pub use world::play;
 
+/// A uniform number in [0, 1).
+fn uniform(rng: &mut impl rand_core::RngCore) -> f64 {
+    (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+}
+
 /// A millisecond in nanoseconds.
 pub const MS: u64 = 1_000_000;
 /// A second in nanoseconds.
--- a/crates/rig/src/lists.rs
+++ b/crates/rig/src/lists.rs
@@ -26,14 +26,14 @@
         from + (drawn * to.saturating_sub(from) as f64) as Nanos
     }
 
-    /// Takes a call: when it is answered, or, past the longest wait, when it fails.
-    pub fn call(&mut self, now: Nanos) -> Result<Nanos, Nanos> {
+    /// Takes a call: when it ends, and whether it is answered; past the longest wait it fails.
+    pub fn call(&mut self, now: Nanos) -> (Nanos, bool) {
         let begins = self.free_at.max(now);
         if begins - now > self.spec.timeout {
-            return Err(now + self.spec.timeout);
+            return (now + self.spec.timeout, false);
         }
         self.free_at = begins + (SECOND as f64 / self.spec.calls_per_s) as Nanos;
-        Ok(self.free_at)
+        (self.free_at, true)
     }
 
     /// A sidecar watches from now on, or no more.
--- a/crates/rig/src/sidecar.rs
+++ b/crates/rig/src/sidecar.rs
@@ -68,7 +68,7 @@
     events: VecDeque<Event>,
     last: u64,
     /// Idle connections, by server: since when each has rested.
-    pub idle: Vec<Vec<Nanos>>,
+    idle: Vec<Vec<Nanos>>,
     /// When it was told that a server drains or is gone.
     pub told: HashMap<ServerId, Nanos>,
     /// Sends that broke a rule: another was out, or too many.
@@ -101,7 +101,7 @@
     Settings {
         self_index: number as u32,
         instances: plan.sidecars as u32,
-        zone: number as u32 % plan.fleet.zones.max(1),
+        zone: plan.fleet.zone(number),
         zones: plan.fleet.zones.max(1),
         must_ask: plan.fleet.registry.is_some(),
         ask_within: 10 * SECOND,
@@ -190,6 +190,13 @@
         idle.pop().is_some()
     }
 
+    /// Closes the idle connections to a server.
+    pub fn close_idle(&mut self, server: usize) {
+        if let Some(idle) = self.idle.get_mut(server) {
+            idle.clear();
+        }
+    }
+
     /// Keeps a connection that carries nothing.
     pub fn rest(&mut self, now: Nanos, server: usize) {
         if self.idle.len() <= server {
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -5,11 +5,11 @@
 use crate::report::{Report, Span, SLICE};
 use crate::server::{mean_work, scale, Arrived, Job, Server, WAY};
 use crate::sidecar::{Deed, Reply, Sidecar, CONNECT_TIMEOUT};
-use crate::{MS, SECOND};
+use crate::{uniform, MS, SECOND};
 use mintshelf_balancer::api::{
     Condition, Effect, ListKind, ListedServer, Nanos, Outcome, RequestId, ServerId,
 };
-use rand_core::{RngCore, SeedableRng};
+use rand_core::SeedableRng;
 use rand_distr::{Distribution, LogNormal};
 use rand_pcg::Pcg64Mcg;
 use std::cmp::{Ordering, Reverse};
@@ -30,7 +30,7 @@
 
 mod fleet;
 
-use fleet::{busy, entry};
+use fleet::{busy, known};
 
 enum Happens {
     Fresh,
@@ -63,7 +63,11 @@
     Rises {
         server: usize,
     },
-    Killed(usize),
+    /// A sidecar is gone until then.
+    Killed {
+        sidecar: usize,
+        back: Nanos,
+    },
     Returns(usize),
     /// A call for the list is answered, or has failed.
     Called {
@@ -154,10 +158,7 @@
     let slices = (plan.length / SLICE) as usize;
     let mut deeds = Vec::new();
     let sigma = plan.fleet.tail;
-    let zones = plan.fleet.zones.max(1);
-    let zone = |server: usize| server as u32 % zones;
-    let known: Vec<ListedServer> =
-        (0..plan.servers).map(|id| entry(id, zone(id), Condition::Live, 0)).collect();
+    let known = known(plan);
     let lists = plan.fleet.registry.map(|spec| Lists::new(spec, plan.sidecars, &known));
     let mut world = World {
         plan,
@@ -166,7 +167,7 @@
         last: 0,
         rng: Pcg64Mcg::seed_from_u64(plan.seed),
         sidecars: Vec::new(),
-        servers: (0..plan.servers).map(|id| Server::new(plan, zone(id))).collect(),
+        servers: (0..plan.servers).map(|id| Server::new(plan, plan.fleet.zone(id))).collect(),
         lives: vec![(0, 0); plan.sidecars],
         busy: busy(plan),
         lists,
@@ -187,8 +188,10 @@
     }
     for restart in &plan.fleet.restarts {
         for sidecar in restart.sidecars.clone() {
-            world.at(BEGIN + restart.at, Happens::Killed(sidecar));
-            world.at(BEGIN + restart.at + restart.down, Happens::Returns(sidecar));
+            let at = BEGIN + restart.at;
+            let back = at + restart.down;
+            world.at(at, Happens::Killed { sidecar, back });
+            world.at(back, Happens::Returns(sidecar));
         }
     }
     for release in &plan.fleet.releases {
@@ -221,7 +224,7 @@
 
     /// A uniform number in [0, 1).
     fn draw(&mut self) -> f64 {
-        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+        uniform(&mut self.rng)
     }
 
     fn span_at(&mut self, at: Nanos) -> &mut Span {
@@ -300,7 +303,7 @@
                 self.servers[server].troubles.retain(|(n, _)| *n != usize::MAX);
                 self.servers[server].start(self.now);
             }
-            Happens::Killed(sidecar) => self.killed(sidecar),
+            Happens::Killed { sidecar, back } => self.killed(sidecar, back),
             Happens::Returns(sidecar) => self.returns(sidecar),
             Happens::Called { sidecar, life, well } => self.called(sidecar, life, well),
             Happens::Told { sidecar, life, entry } => {
@@ -335,7 +338,7 @@
     fn fresh(&mut self) {
         let since = self.now - BEGIN;
         let burst = self.plan.fleet.burst.as_ref();
-        let burst = burst.filter(|burst| (burst.from..burst.until).contains(&since));
+        let burst = burst.filter(|burst| burst.during.contains(&since));
         let rate = self.plan.rate * burst.map_or(1.0, |burst| burst.times);
         let gap = -(1.0 - self.draw()).ln() / rate * SECOND as f64;
         self.at(self.now + gap as Nanos, Happens::Fresh);
@@ -352,8 +355,8 @@
             // Its application waits for it, and has sent nothing.
             return;
         }
-        let hurry = self.plan.fleet.hurry.clone();
-        let hurry = hurry.filter(|hurry| (hurry.from..hurry.until).contains(&since));
+        let hurry = self.plan.fleet.hurry.as_ref();
+        let hurry = hurry.filter(|hurry| hurry.during.contains(&since));
         let hurry = hurry.and_then(|hurry| {
             let [least, most] = hurry.waits;
             let waits = least + self.draw() * (most - least);
@@ -456,17 +459,12 @@
                     let life = self.lives[sidecar].0;
                     self.at(at, Happens::Timer { sidecar, life, token })
                 }
-                Deed::CloseIdle { server } => {
-                    if let Some(idle) = self.sidecars[sidecar].idle.get_mut(server as usize) {
-                        idle.clear();
-                    }
-                }
+                Deed::CloseIdle { server } => self.sidecars[sidecar].close_idle(server as usize),
                 Deed::Watch => {
                     self.span().calls += 1;
                     let now = self.now;
                     let Some(lists) = &mut self.lists else { continue };
-                    let called = lists.call(now);
-                    let (at, well) = called.map_or_else(|at| (at, false), |at| (at, true));
+                    let (at, well) = lists.call(now);
                     let life = self.lives[sidecar].0;
                     self.at(at, Happens::Called { sidecar, life, well });
                 }
@@ -500,8 +498,7 @@
             by_second.resize(by_second.len().max(second + 1), 0);
             by_second[second] += 1;
         }
-        let zones = self.plan.fleet.zones.max(1);
-        let away = self.servers[server].zone != sidecar as u32 % zones;
+        let away = self.servers[server].zone != self.plan.fleet.zone(sidecar);
         let usual = mean_work();
         let span = self.span();
         span.crossed += u64::from(away);
@@ -587,11 +584,7 @@
         for job in self.servers[server].lose() {
             self.answer(server, job, Outcome::Reset);
         }
-        for sidecar in &mut self.sidecars {
-            if let Some(idle) = sidecar.idle.get_mut(server) {
-                idle.clear();
-            }
-        }
+        self.sidecars.iter_mut().for_each(|sidecar| sidecar.close_idle(server));
     }
 
     fn finish(mut self) -> Report {
--- a/crates/rig/src/world/fleet.rs
+++ b/crates/rig/src/world/fleet.rs
@@ -1,16 +1,21 @@
 //! What happens to the fleet: news of servers on their way, sidecars killed and started anew.
 
-use super::{Happens, World, BEGIN, MORE_TRIES, UNTOLD};
+use super::{Happens, World, MORE_TRIES, UNTOLD};
 use crate::plan::{Plan, CLASSES};
 use crate::sidecar::Sidecar;
 use mintshelf_balancer::api::{Condition, Effect, ListKind, ListedServer, Nanos, ServerId};
 
 /// How a server is listed.
-pub(super) fn entry(id: usize, zone: u32, condition: Condition, started_at: Nanos) -> ListedServer {
+fn entry(id: usize, zone: u32, condition: Condition, started_at: Nanos) -> ListedServer {
     let id = id as ServerId;
     ListedServer { id, zone, condition, size: 1.0, started_at, ..ListedServer::default() }
 }
 
+/// The servers that are there from the start.
+pub(super) fn known(plan: &Plan) -> Vec<ListedServer> {
+    (0..plan.servers).map(|id| entry(id, plan.fleet.zone(id), Condition::Live, 0)).collect()
+}
+
 /// The traffic of the sidecars up to each: spread over powers of ten, in no order.
 pub(super) fn busy(plan: &Plan) -> Vec<f64> {
     const ROOT: f64 = 0.414_213_562_373_095;
@@ -58,11 +63,7 @@
     }
 
     /// What it held breaks off; its clients come again once it is back.
-    pub(super) fn killed(&mut self, sidecar: usize) {
-        let restarts = self.plan.fleet.restarts.iter();
-        let mine = restarts.filter(|restart| restart.sidecars.contains(&sidecar));
-        let back = mine.map(|restart| BEGIN + restart.at + restart.down);
-        let back = back.filter(|back| *back >= self.now).min().unwrap_or(self.now);
+    pub(super) fn killed(&mut self, sidecar: usize, back: Nanos) {
         self.lives[sidecar] = (self.lives[sidecar].0 + 1, back);
         for client in self.sidecars[sidecar].open_clients() {
             let of = &mut self.clients[client];
@@ -78,11 +79,9 @@
         }
     }
 
-    /// It starts with the list that it had: the first one, as far as that still holds.
+    /// It starts with the first list, old as that may be.
     pub(super) fn returns(&mut self, sidecar: usize) {
-        let known: Vec<ListedServer> = (0..self.plan.servers)
-            .map(|id| entry(id, self.servers[id].zone, Condition::Live, 0))
-            .collect();
+        let known = known(self.plan);
         let mut deeds = Vec::new();
         let life = self.lives[sidecar].0;
         let fresh = Sidecar::new(self.plan, sidecar, life, self.now, &known, &mut deeds);
--- a/crates/rig/tests/days.rs
+++ b/crates/rig/tests/days.rs
@@ -65,6 +65,9 @@
     let second = |at: u64| report.sum(at..at + 1, |s| s.connects as f64);
     let (most, first) = ((10..20).map(second).fold(0.0, f64::max), second(0));
     assert!(most < first, "{most} in a second, {first} when all started");
+    // Nor does any one server see many more than in a calm second.
+    let [calm, most] = [2..10, 10..20].map(|seconds| report.most_connects(seconds));
+    assert!(calm > 0 && most <= 6 * calm, "{most} at a server, {calm} in a calm second");
     // The list's source sees each once, over seconds.
     let calls = |at: u64| report.sum(at..at + 1, |s| s.calls as f64);
     let most = (10..20).map(calls).fold(0.0, f64::max);
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -250,11 +250,16 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.pid())).unwrap().count()
     }
 
-    /// A line of its status that holds a size, in bytes.
-    fn memory(&self, line: &str) -> usize {
+    /// The number in a line of its status.
+    fn status(&self, line: &str) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap();
         let line = status.lines().find(|l| l.starts_with(line)).unwrap();
-        line.split_whitespace().nth(1).unwrap().parse::<usize>().unwrap() << 10
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+
+    /// A line of its status that holds a size, in bytes.
+    fn memory(&self, line: &str) -> usize {
+        self.status(line) << 10
     }
 
     /// The most memory it ever held, in bytes.
