Voters read any frame without a panic, and say when their store is behind

Need: the raft library takes its peers' messages for granted and panics on an election of 0, an append after no entry, a commit index past the log.

Change: what it relies on is checked first; a frame that fails is an error and changes nothing. A heartbeat that knows of more than the log holds is told apart: the store was emptied or put back, and the voter stops.

--- a/crates/fleet/src/voter.rs
+++ b/crates/fleet/src/voter.rs
@@ -43,7 +43,7 @@
     pub number: u64,
 }
 
-/// What went wrong. None is a reason to go on with this voter but the last two.
+/// What went wrong. A voter goes on after [`VoterError::Frame`] and [`VoterError::NotNow`] only.
 #[derive(Debug, Error)]
 pub enum VoterError {
     /// Raft's own.
@@ -55,6 +55,19 @@
     /// No message of a voter.
     #[error("not a voter's message: {0}")]
     Frame(String),
+    /// The store is empty, or older than what this voter has promised from it: a leader counts
+    /// on entries that it has acknowledged. It must not go on under this number: what it voted
+    /// may be forgotten too.
+    #[error(
+        "the store ends at entry {holds}, and a leader knows that it held {knows}: it was emptied \
+         or put back to an older state; this voter must stop"
+    )]
+    StoreBehind {
+        /// What has been acknowledged.
+        knows: u64,
+        /// What there is.
+        holds: u64,
+    },
     /// Nobody leads, or too much is on its way.
     #[error("no leader takes it now")]
     NotNow,
@@ -301,7 +314,11 @@
     /// send each other, entries in a row, nothing agreed that the log does not reach.
     fn check(&self, message: &Message) -> Result<(), VoterError> {
         let frame = |why: &str| Err(VoterError::Frame(why.to_owned()));
-        if message.term < self.raw.raft.term && message.get_msg_type() != MessageType::MsgPropose {
+        let proposal = message.get_msg_type() == MessageType::MsgPropose;
+        if proposal != (message.term == 0) {
+            return frame("a message of no election, or a proposal of one");
+        }
+        if !proposal && message.term < self.raw.raft.term {
             // Late: the library passes over it, or tells its sender of the newer election.
             return Ok(());
         }
@@ -314,7 +331,8 @@
             | MessageType::MsgRequestPreVoteResponse
             | MessageType::MsgHeartbeatResponse => Ok(()),
             MessageType::MsgHeartbeat if message.commit > log.last_index() => {
-                frame("a heartbeat that knows of more than the log holds")
+                let (knows, holds) = (message.commit, log.last_index());
+                Err(VoterError::StoreBehind { knows, holds })
             }
             MessageType::MsgHeartbeat => Ok(()),
             // Who does not lead passes over it.
@@ -327,8 +345,8 @@
             MessageType::MsgAppendResponse => Ok(()),
             MessageType::MsgAppend => {
                 let mut last = (message.index, message.log_term);
-                if last.0 > MAX_INDEX {
-                    return frame("an index out of bounds");
+                if last.0 > MAX_INDEX || last.1 == 0 || last.1 > message.term {
+                    return frame("an index or a term out of bounds");
                 }
                 for entry in entries {
                     if entry.index != last.0 + 1 || entry.term < last.1 || entry.term > message.term
