--- a/crates/fleet/src/log.rs
+++ b/crates/fleet/src/log.rs
@@ -60,17 +60,29 @@
         self.snapshot = snapshot.clone();
     }
 
-    /// Puts a snapshot of the state at `index` in place of the entries up to it.
-    pub(crate) fn compact(&mut self, index: u64, data: Vec<u8>) {
-        let Ok(term) = self.term(index) else { return };
-        if index <= self.base() || index > self.last() {
-            return;
-        }
-        self.entries.drain(..(index - self.base()) as usize);
-        self.snapshot.set_data(data.into());
-        let meta = self.snapshot.mut_metadata();
+    /// A snapshot of the state at an index.
+    pub(crate) fn snapshot_of(&self, index: u64, data: Vec<u8>) -> Option<Snapshot> {
+        let term = self.term(index).ok().filter(|_| index > self.base())?;
+        let mut snapshot = Snapshot::default();
+        snapshot.set_data(data.into());
+        let meta = snapshot.mut_metadata();
         (meta.index, meta.term) = (index, term);
         meta.set_conf_state(self.conf.clone());
+        Some(snapshot)
+    }
+
+    /// Puts a snapshot of the own state in place of the entries up to its index.
+    pub(crate) fn compact(&mut self, snapshot: &Snapshot) {
+        let index = snapshot.get_metadata().index;
+        if index > self.base() && index <= self.last() {
+            self.entries.drain(..(index - self.base()) as usize);
+            self.snapshot = snapshot.clone();
+        }
+    }
+
+    /// The entries after the snapshot.
+    pub(crate) fn entries(&self) -> &[Entry] {
+        &self.entries
     }
 }
 
--- a/crates/fleet/src/voter.rs
+++ b/crates/fleet/src/voter.rs
@@ -94,10 +94,46 @@
         if let Some(hard) = &batch.hard {
             self.log.hard = hard.clone();
         }
-        if let Some((index, data)) = &batch.compact {
-            self.log.compact(*index, data.clone());
+        if let Some(snapshot) = &batch.compacted {
+            self.log.compact(snapshot);
         }
     }
+
+    /// From what a store has read back.
+    ///
+    /// # Errors
+    /// The parts don't go together.
+    pub fn from_parts(
+        hard: HardState,
+        snapshot: Snapshot,
+        entries: Vec<Entry>,
+    ) -> Result<Self, VoterError> {
+        let wrong = |why: &str| Err(VoterError::Stored(why.to_owned()));
+        let mut last = (snapshot.get_metadata().index, snapshot.get_metadata().term);
+        for entry in &entries {
+            if entry.index != last.0 + 1 || entry.term < last.1 {
+                return wrong("entries out of their order");
+            }
+            last = (entry.index, entry.term);
+        }
+        let base = snapshot.get_metadata().index;
+        if hard.commit < base || hard.commit > last.0 || hard.term < last.1 {
+            return wrong("term and commit don't go with the entries");
+        }
+        if snapshot.get_metadata().get_conf_state().voters.is_empty() {
+            return wrong("no voters");
+        }
+        let mut log = Log::default();
+        log.conf = snapshot.get_metadata().get_conf_state().clone();
+        (log.hard, log.snapshot) = (hard, snapshot);
+        log.append(&entries);
+        Ok(Stored { log })
+    }
+
+    /// What a store keeps: term and vote, the snapshot, the entries after it.
+    pub fn parts(&self) -> (&HardState, &Snapshot, &[Entry]) {
+        (&self.log.hard, &self.log.snapshot, self.log.entries())
+    }
 }
 
 /// What is to be written and synced, in this order, and what may be sent meanwhile.
@@ -109,8 +145,8 @@
     pub entries: Vec<Entry>,
     /// Term, vote and what is known to be agreed.
     pub hard: Option<HardState>,
-    /// The own state up to an index, in place of the entries up to it.
-    pub compact: Option<(u64, Vec<u8>)>,
+    /// The own state, in place of the entries up to its index.
+    pub compacted: Option<Snapshot>,
     /// May leave before the writes are synced: they promise nothing.
     pub at_once: Vec<Message>,
     /// To who proposed here: a majority has it.
@@ -439,19 +475,21 @@
         if batch.snapshot.is_none() && !committed.is_empty() {
             self.raw.advance_apply_to(self.applied);
         }
-        batch.compact = self.compaction();
-        if let Some((index, data)) = &batch.compact {
-            self.raw.mut_store().compact(*index, data.clone());
-        }
+        batch.compacted = self.compaction();
+        let log = self.raw.mut_store();
+        batch.compacted.iter().for_each(|snapshot| log.compact(snapshot));
         self.note_role(now);
         Ok(Some(batch))
     }
 
     /// A snapshot, where the log has become long. Only what is applied may go into it.
-    fn compaction(&self) -> Option<(u64, Vec<u8>)> {
-        let long = self.raw.store().kept() >= SNAPSHOT_EVERY;
-        let data = long.then(|| postcard::to_allocvec(&self.leases).ok()).flatten()?;
-        Some((self.applied, data))
+    fn compaction(&self) -> Option<Snapshot> {
+        let log = self.raw.store();
+        if log.kept() < SNAPSHOT_EVERY {
+            return None;
+        }
+        let data = postcard::to_allocvec(&self.leases).ok()?;
+        log.snapshot_of(self.applied, data)
     }
 
     /// The batch is written and synced: what it promises may leave.
--- a/crates/fleet/tests/common/world.rs
+++ b/crates/fleet/tests/common/world.rs
@@ -140,6 +140,9 @@
     pub acts: Vec<Act>,
     pub shown: Vec<Shown>,
     pub frames: u64,
+    /// How long each question waited for its lease, and whether it was held already.
+    pub waits: Vec<(bool, Nanos)>,
+    asked: BTreeMap<(Pid, u64), (bool, Nanos)>,
     pub crashes: u32,
     pub leaders: BTreeSet<(u64, u64)>,
 }
@@ -161,6 +164,8 @@
             acts: Vec::new(),
             shown: Vec::new(),
             frames: 0,
+            waits: Vec::new(),
+            asked: BTreeMap::new(),
             crashes: 0,
             leaders: BTreeSet::new(),
             plan,
@@ -253,9 +258,14 @@
 
     /// Plays to the end.
     pub fn run(&mut self) {
-        let end = self.plan.stormy + self.plan.calm;
-        while let Some(Reverse((when, _, slot))) = self.queue.pop() {
+        self.run_until(self.plan.stormy + self.plan.calm);
+    }
+
+    /// Plays on to a time.
+    pub fn run_until(&mut self, end: Nanos) {
+        while let Some(Reverse((when, seq, slot))) = self.queue.pop() {
             if when > end {
+                self.queue.push(Reverse((when, seq, slot)));
                 break;
             }
             self.now = when;
@@ -347,6 +357,11 @@
             },
             Role::Contender(Some(contender)) => {
                 let Wire::Answer { number, answer } = wire else { return };
+                if let (Some((renewal, at)), Answer::Granted { .. }) =
+                    (self.asked.remove(&(to, number)), &answer)
+                {
+                    self.waits.push((renewal, self.now - at));
+                }
                 let mut steps = Vec::new();
                 if self.plan.mutant == Mutant::FromAnswer {
                     // It notes that it has asked when the answer is there.
@@ -449,6 +464,8 @@
                 (contender.to, contender.unanswered) = (other, 0);
             }
             let to = contender.to;
+            let renewal = matches!(command, Command::Renew { .. });
+            self.asked.insert((pid, number), (renewal, self.now));
             self.post(pid, to, Wire::Ask { number, command });
         }
     }
@@ -549,6 +566,23 @@
         self.at(back, Happens::Restart { pid });
     }
 
+    /// Who leads, and who holds the lease.
+    fn victims(&self, leader: bool, holder: bool) -> Vec<Pid> {
+        let is = |pid: &Pid| match &self.processes[*pid].role {
+            Role::Voter(Some(process)) => leader && process.voter.status().leads,
+            Role::Contender(Some(contender)) => {
+                holder && contender.holder.held(self.own(*pid)).is_some()
+            }
+            _ => false,
+        };
+        (0..self.processes.len()).filter(is).collect()
+    }
+
+    /// Kills who leads, who holds, or both.
+    pub fn strike(&mut self, leader: bool, holder: bool) {
+        self.victims(leader, holder).into_iter().for_each(|pid| self.kill(pid));
+    }
+
     fn fault(&mut self) {
         if self.now >= self.plan.stormy {
             return self.at(self.now, Happens::Heal);
@@ -567,17 +601,7 @@
             1 => self.stop(pid),
             2 => {
                 // The leader and a holder in one stroke.
-                let leads = (0..self.plan.voters).find(|at| match &self.processes[*at].role {
-                    Role::Voter(Some(process)) => process.voter.status().leads,
-                    _ => false,
-                });
-                let own: Vec<Nanos> = (0..self.processes.len()).map(|pid| self.own(pid)).collect();
-                let holds =
-                    (self.plan.voters..all as usize).find(|at| match &self.processes[*at].role {
-                        Role::Contender(Some(c)) => c.holder.held(own[*at]).is_some(),
-                        _ => false,
-                    });
-                leads.into_iter().chain(holds).for_each(|pid| self.kill(pid));
+                self.victims(true, true).into_iter().for_each(|pid| self.kill(pid));
             }
             3 => {
                 // One way: it is heard and hears not, or the reverse.
