A link for tests that is held, delayed, cut, broken in mid-frame or garbled, each way

Need: several processes and faults between them; the leases' harness and those after it need one relay.

Change: crates/testkit, relay.rs: between two addresses, each way by itself: held and let go late, delayed, broken after any byte, a byte changed, all broken, new ones refused; what goes is counted.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,6 +1,8 @@
 //! Stand-ins for tests: the whole program between a client, servers and discovery on loopback
 //! sockets. Each test has an address of its own; waits are for conditions.
 
+pub mod relay;
+
 use serde_json::{json, Value};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
