Voters and members on sockets: links that greet, a node with its store, a lease held

Need: the agreed leases between real sockets and disks.

Change: crates/fleetnet: frames behind a length, at first a bounded greeting with version, fleet and speaker; one link a pair of voters, dialled by the higher number with a jittered pause; a voter's loop that writes, syncs and sends in that order; a member that holds a lease and asks another voter when one is silent; the clock that counts through sleep. A holder whose voter is silent asks at once elsewhere.

--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -241,6 +241,13 @@
         }
     }
 
+    /// Who was asked does not answer: another may be asked now.
+    pub fn unanswered(&mut self, now: Nanos) {
+        if self.asked.is_some() {
+            self.ask_at = self.ask_at.min(now);
+        }
+    }
+
     /// When [`Holder::tick`] has something to do.
     pub fn next(&self) -> Nanos {
         let busy = if self.wanted { 0 } else { self.busy_until };
--- a/crates/fleet/src/voter.rs
+++ b/crates/fleet/src/voter.rs
@@ -155,6 +155,16 @@
     pub must_sync: bool,
 }
 
+impl Batch {
+    /// Whether there is nothing to write.
+    pub fn is_empty(&self) -> bool {
+        self.snapshot.is_none()
+            && self.entries.is_empty()
+            && self.hard.is_none()
+            && self.compacted.is_none()
+    }
+}
+
 /// What a voter says of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Status {
--- a/crates/fleetnet/src/lib.rs
+++ b/crates/fleetnet/src/lib.rs
@@ -1,5 +1,10 @@
-//! What stands between a voter and the machine: its store. Links between processes come next.
+//! What stands between the fleet's decisions and the machine: a voter's store, the links between
+//! processes, the clock, and a member that holds a lease.
 
 #![forbid(unsafe_code)]
 
+pub mod clock;
+pub mod frame;
+pub mod member;
+pub mod node;
 pub mod store;
--- /dev/null
+++ b/crates/fleetnet/src/member.rs
@@ -0,0 +1,162 @@
+//! A member that holds one lease: it asks one voter, and another when that one does not answer.
+
+use crate::clock;
+use crate::frame::{pack, unpack, Frame, Hello, Speaker, VERSION};
+use crate::node::greet;
+use futures_util::{SinkExt, StreamExt};
+use mintshelf_fleet::fence::Token;
+use mintshelf_fleet::holder::{Holder, Step};
+use mintshelf_fleet::lease::{Owner, Refusal};
+use mintshelf_fleet::span::{ClockError, Nanos, MS};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+/// A voter that has not answered by then is left for another.
+const ANSWER_WITHIN: Duration = Duration::from_millis(1_500);
+/// Pause before the next voter is tried.
+const MOVE_ON: Duration = Duration::from_millis(60);
+
+/// What is wanted of whom.
+#[derive(Debug, Clone)]
+pub struct Want {
+    /// The fleet's name.
+    pub fleet: String,
+    /// Where its voters listen.
+    pub voters: Vec<SocketAddr>,
+    /// Who asks.
+    pub owner: Owner,
+    /// The lease.
+    pub lease: String,
+    /// Its span.
+    pub span: Nanos,
+    /// The clocks' error.
+    pub error: ClockError,
+    /// Whether to queue for it.
+    pub wait: bool,
+}
+
+/// How it stands with a lease. The token is good until the time on [`clock::now`], no longer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Standing {
+    /// The grant, and until when it is held.
+    pub held: Option<(Token, Nanos)>,
+    /// Why the voters will not have it.
+    pub refused: Option<Refusal>,
+}
+
+/// Asks for a lease, holds it and tells how it stands, until `stop` is done; then gives it back.
+pub async fn hold(
+    want: Want,
+    standing: watch::Sender<Standing>,
+    stop: impl std::future::Future<Output = ()>,
+) {
+    let Want { owner, lease, span, error, wait, .. } = want.clone();
+    let mut holder = Holder::new(&lease, owner, span, error, wait);
+    let (mut at, mut left) = (0usize, None);
+    tokio::pin!(stop);
+    loop {
+        if want.voters.is_empty() || holder.is_over() {
+            return;
+        }
+        let talk = talk(&want, want.voters[at % want.voters.len()], &mut holder, &standing);
+        tokio::select! {
+            () = talk => at += 1,
+            () = &mut stop, if left.is_none() => {
+                holder.give_back();
+                // Given back if a voter hears of it in time; else it ends with its span.
+                left = Some(clock::now() + span);
+                standing.send_replace(Standing::default());
+                continue;
+            }
+        }
+        if left.is_some_and(|until| clock::now() >= until) {
+            return;
+        }
+        // With no voter at hand the lease runs out all the same.
+        show(&holder, &standing, None);
+        sleep(MOVE_ON).await;
+    }
+}
+
+fn show(holder: &Holder, standing: &watch::Sender<Standing>, refused: Option<Refusal>) {
+    let held = holder.held(clock::now());
+    standing.send_if_modified(|said| {
+        let now = Standing { held, refused: refused.or(said.refused.filter(|_| held.is_none())) };
+        let differs = *said != now;
+        *said = now;
+        differs
+    });
+}
+
+/// Talks to one voter until it does not answer.
+async fn talk(
+    want: &Want,
+    voter: SocketAddr,
+    holder: &mut Holder,
+    standing: &watch::Sender<Standing>,
+) {
+    let speaker = Speaker::Member(want.owner.clone());
+    let own = pack(&Hello { version: VERSION, fleet: want.fleet.clone(), speaker });
+    let stream = match timeout(ANSWER_WITHIN, TcpStream::connect(voter)).await {
+        Ok(Ok(stream)) => stream,
+        _ => return,
+    };
+    let (mut wire, who) = match greet(stream, own, &want.fleet).await {
+        Ok(met) => met,
+        Err(error) => {
+            tracing::warn!(%voter, %error, "no voter of this fleet");
+            return;
+        }
+    };
+    if !matches!(who, Speaker::Voter(_)) {
+        return;
+    }
+    let mut asked_at = None;
+    holder.unanswered(clock::now());
+    loop {
+        let mut steps = Vec::new();
+        holder.tick(clock::now(), &mut steps);
+        show(holder, standing, None);
+        for step in steps {
+            let Step::Send { number, command } = step else { continue };
+            let frame = pack(&Frame::Ask { number, command });
+            if !matches!(timeout(ANSWER_WITHIN, wire.send(frame)).await, Ok(Ok(()))) {
+                return;
+            }
+            asked_at.get_or_insert_with(clock::now);
+        }
+        if holder.is_over() {
+            return;
+        }
+        let now = clock::now();
+        let patience = asked_at.map(|at: Nanos| at + ANSWER_WITHIN.as_nanos() as Nanos);
+        if patience.is_some_and(|until| until <= now) {
+            return;
+        }
+        let until = patience.unwrap_or(Nanos::MAX).min(holder.next());
+        let pause = Duration::from_nanos(until.saturating_sub(now).clamp(MS, 1_000 * MS));
+        let frame = match timeout(pause, wire.next()).await {
+            Err(_) => continue,
+            Ok(Some(Ok(bytes))) => unpack::<Frame>(&bytes),
+            Ok(_) => return,
+        };
+        match frame {
+            Ok(Frame::Answer { number, answer }) => {
+                asked_at = None;
+                let mut steps = Vec::new();
+                holder.answered(clock::now(), number, &answer, &mut steps);
+                let refused = steps.iter().find_map(|step| match step {
+                    Step::Refused(refusal) => Some(*refusal),
+                    _ => None,
+                });
+                show(holder, standing, refused);
+            }
+            // Another may know who leads.
+            Ok(Frame::NotNow { .. }) | Err(_) => return,
+            Ok(_) => {}
+        }
+    }
+}
