lease run: a command under a lease, ended in time also when its holder is stopped

Need: members' own jobs that must run once for the fleet, and a command that is over before the next holder's begins.

Change: mintshelf lease run: a holder that renews, a guard that ends the command's process group when the last renewal runs out or the holder is gone, a command that dies with its guard.

Measured, three voters as processes: a holder stopped by SIGSTOP: its command and that one's child are over before the next works, under a higher token; killed: at once; two of three voters gone: in time, 74.

--- a/crates/mintshelf/src/fleet.rs
+++ b/crates/mintshelf/src/fleet.rs
@@ -1,17 +1,19 @@
 //! The process as one of a fleet: a voter beside the traffic, and the commands that ask voters.
 
-use crate::check;
+use crate::{check, lease_run, UNUSABLE};
 use mintshelf_config::model::{Fleet, FleetVoter};
-use mintshelf_fleet::lease::{Answer, Command, Owner};
+use mintshelf_fleet::lease::{self, Answer, Command, Owner};
 use mintshelf_fleet::voter::Stored;
 use mintshelf_fleetnet::member::{ask, tell};
 use mintshelf_fleetnet::node::{run, Plan, Report};
 use mintshelf_fleetnet::store::{Identity, Opened, Store};
 use serde_json::json;
+use std::ffi::OsString;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::thread::JoinHandle;
+use std::time::Duration;
 use tokio::sync::{oneshot, watch};
 
 /// Exit code where no voter answers.
@@ -331,6 +333,30 @@
     }
 }
 
+/// `mintshelf lease run`.
+fn take(
+    config: &Path,
+    lease: String,
+    wait: Duration,
+    span: Option<Duration>,
+    command: Vec<OsString>,
+) -> ExitCode {
+    let fleet = match of(config) {
+        Ok(fleet) => fleet,
+        Err(code) => return code,
+    };
+    let span = span.map_or(fleet.spans.lease, |span| span.as_nanos() as u64);
+    if !(lease_run::SPAN_MIN..=lease::SPAN_MAX).contains(&span) {
+        eprintln!("mintshelf: --span is 1s to 24h");
+        return ExitCode::from(UNUSABLE);
+    }
+    let owner = owner(&fleet);
+    // Two runs beside one another are two members.
+    let member = format!("{}#{}", owner.member, std::process::id());
+    let owner = Owner { member, ..owner };
+    lease_run::run(&fleet, owner, lease_run::Task { lease, span, wait, command })
+}
+
 /// The commands about the fleet.
 #[derive(clap::Subcommand)]
 pub enum FleetCommand {
@@ -374,6 +400,40 @@
         #[arg(long)]
         json: bool,
     },
+    /// Run a command while a lease is held; exit code its own, 75 if the lease is not got, 74 if
+    /// it is lost
+    Run {
+        /// Its name
+        name: String,
+        /// The operator's file
+        #[arg(long)]
+        config: PathBuf,
+        /// How long to wait for it
+        #[arg(long, value_parser = humantime::parse_duration, default_value = "0s")]
+        wait: Duration,
+        /// What each renewal counts for; the file's unless given, 1s at least
+        #[arg(long, value_parser = humantime::parse_duration)]
+        span: Option<Duration>,
+        /// The command and its arguments; the token is in MINTSHELF_LEASE_TOKEN
+        #[arg(last = true, required = true)]
+        command: Vec<OsString>,
+    },
+    #[command(hide = true)]
+    Guard {
+        #[arg(long)]
+        span_ns: u64,
+        #[arg(long)]
+        until_ns: u64,
+        #[arg(last = true, required = true)]
+        command: Vec<OsString>,
+    },
+    #[command(hide = true)]
+    Stage {
+        #[arg(long)]
+        guard: u32,
+        #[arg(last = true, required = true)]
+        command: Vec<OsString>,
+    },
     /// Have a lease end with its span: its holder is not renewed any more
     Release {
         /// Its name
@@ -398,5 +458,12 @@
         LeaseCommand::List { config, json } => leases(&config, None, json),
         LeaseCommand::Show { name, config, json } => leases(&config, Some(&name), json),
         LeaseCommand::Release { name, config } => release(&config, &name),
+        LeaseCommand::Run { name, config, wait, span, command } => {
+            take(&config, name, wait, span, command)
+        }
+        LeaseCommand::Guard { span_ns, until_ns, command } => {
+            lease_run::guard_main(span_ns, until_ns, &command)
+        }
+        LeaseCommand::Stage { guard, command } => lease_run::stage_main(guard, &command),
     }
 }
--- a/crates/mintshelf/src/main.rs
+++ b/crates/mintshelf/src/main.rs
@@ -7,6 +7,7 @@
 mod demo;
 mod explain;
 mod fleet;
+mod lease_run;
 mod log;
 mod platform;
 mod service;
--- a/crates/mintshelf/tests/fleet.rs
+++ b/crates/mintshelf/tests/fleet.rs
@@ -14,7 +14,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Command, Output};
+use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
@@ -381,3 +381,87 @@
         assert!(two[1].token > two[0].token || two[1].who == two[0].who, "{two:?}");
     }
 }
+
+impl Fleet {
+    /// `lease run` with a shell's script.
+    fn run(&self, wait: &str, script: &str) -> Child {
+        Command::new(PROGRAM)
+            .args(["lease", "run", "job", "--span", "3s", "--wait", wait, "--config"])
+            .arg(self.file(0))
+            .args(["--", "sh", "-c", script])
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap()
+    }
+}
+
+/// A file that a script writes to while it runs, and whether it still does.
+struct Beat(PathBuf);
+
+impl Beat {
+    /// A child of the shell's that goes on and on.
+    fn script(&self) -> String {
+        let file = self.0.display();
+        format!("(while true; do echo $MINTSHELF_LEASE_TOKEN >> {file}; sleep 0.05; done) & wait")
+    }
+
+    fn lines(&self) -> Vec<String> {
+        let text = std::fs::read_to_string(&self.0).unwrap_or_default();
+        text.lines().map(str::to_owned).collect()
+    }
+
+    fn goes(&self) -> bool {
+        let before = self.lines().len();
+        thread::sleep(Duration::from_millis(400));
+        self.lines().len() > before
+    }
+}
+
+fn signal(child: &Child, what: &str) {
+    let done = Command::new("kill").arg(format!("-{what}")).arg(child.id().to_string()).status();
+    assert!(done.unwrap().success());
+}
+
+#[test]
+fn a_command_runs_under_its_lease_and_never_after_it() {
+    let mut fleet = Fleet::new("run", 3);
+    fleet.begin();
+    let done = fleet.run("10s", "echo token $MINTSHELF_LEASE_TOKEN; exit 7").wait_with_output();
+    let done = done.unwrap();
+    assert_eq!(done.status.code(), Some(7), "{done:?}");
+    assert!(text(&done.stdout).starts_with("token "), "{done:?}");
+    // Held, it is not got by another; who waits gets it once the command is over.
+    let beat = Beat(fleet.directory.join("first"));
+    let mut first = fleet.run("10s", &beat.script());
+    wait_until("the first works", || !beat.lines().is_empty());
+    let none = fleet.run("0s", "echo never").wait_with_output().unwrap();
+    assert_eq!(none.status.code(), Some(75), "{none:?}");
+    assert!(none.stdout.is_empty());
+    // Stopped, the holder renews nothing: its command and that one's child are ended before the
+    // next begins, by the guard.
+    let next = Beat(fleet.directory.join("next"));
+    let mut second = fleet.run("60s", &next.script());
+    signal(&first, "STOP");
+    wait_until("the second works", || !next.lines().is_empty());
+    assert!(!beat.goes(), "the first goes on beside the second");
+    let tokens = |lines: Vec<String>| lines.iter().map(|line| line.parse().unwrap()).collect();
+    let (former, later): (Vec<u64>, Vec<u64>) = (tokens(beat.lines()), tokens(next.lines()));
+    assert!(former[0] < later[0], "{former:?} {later:?}");
+    signal(&first, "CONT");
+    wait_until("the first ends", || first.try_wait().unwrap().is_some());
+    assert_eq!(first.wait().unwrap().code(), Some(74));
+    // Killed, the holder takes its command with it at once.
+    assert!(next.goes());
+    second.kill().unwrap();
+    second.wait().unwrap();
+    wait_until("the second's command is ended", || !next.goes());
+    // With no majority left the command is ended in time, and the holder says so.
+    let last = Beat(fleet.directory.join("last"));
+    let mut third = fleet.run("60s", &last.script());
+    wait_until("the third works", || !last.lines().is_empty());
+    (0..2).for_each(|n| fleet.kill(n));
+    wait_until("the third ends", || third.try_wait().unwrap().is_some());
+    assert_eq!(third.wait().unwrap().code(), Some(74));
+    assert!(!last.goes());
+}
