Fleet: one way to write a batch, one check of names, commands that end by their codes

Change: Log::write serves the store in memory and the voter, where both wrote a batch by hand. The voters of a fleet are read from the log's own configuration, not built anew for each frame; a message to a voter finds its link without a search through all members'. The file's reader calls the leases' check of names. One function makes the program's runtimes, where four did. The fleet's commands return early by their exit codes in place of five matches. Holder::hint, a constant of 1 and a parameter that nobody read are gone; a question on a link of its own needs no number. A voter that says it is number 0 no longer makes fleet status panic.

--- a/crates/config/src/file/fleet.rs
+++ b/crates/config/src/file/fleet.rs
@@ -3,7 +3,7 @@
 use super::reader::{At, Table};
 use super::{address, ms, EVER};
 use crate::model::{Fleet, FleetVoter};
-use mintshelf_fleet::lease::NAME_MAX;
+use mintshelf_fleet::lease::{named_well, NAME_MAX};
 use mintshelf_fleet::span::{ClockError, Nanos, SpanProblem, Spans};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -35,8 +35,7 @@
         table.reader.wrong(&table.span, &table.path(key), "is missing", &mend);
     }
     table.parsed(key, &mend, |text| {
-        let well = (1..=NAME_MAX).contains(&text.len()) && !text.chars().any(char::is_control);
-        well.then(|| text.to_owned()).ok_or_else(|| "is no name".to_owned())
+        named_well(text).then(|| text.to_owned()).ok_or_else(|| "is no name".to_owned())
     })
 }
 
--- a/crates/fleet/src/grantor.rs
+++ b/crates/fleet/src/grantor.rs
@@ -12,8 +12,6 @@
 /// A proposal that has not been applied by then is made again: it may have been lost with a
 /// message.
 const PROPOSE_AGAIN: Nanos = crate::span::SECOND;
-/// A waiter that has not asked for this many of its spans has gone.
-const WAITER_SPANS: u64 = 1;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct Count {
@@ -81,7 +79,8 @@
         for waiter in queue.into_iter().flatten() {
             let (key, which) = ((name.to_owned(), waiter.owner.clone()), (0, waiter.asks));
             if self.waiters.get(&key).is_none_or(|count| count.which != which) {
-                let due = now.saturating_add(self.error.grantors(waiter.span * WAITER_SPANS));
+                // Who has not asked for a span has gone.
+                let due = now.saturating_add(self.error.grantors(waiter.span));
                 self.waiters.insert(key, Count { which, due });
             }
         }
--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -214,33 +214,26 @@
                     steps.push(Step::Got { token: *token });
                 }
             }
-            Answer::Held { .. } | Answer::Done => self.lose(now, steps),
+            Answer::Held { .. } | Answer::Done => self.lose(steps),
             // Revoked: what is held stays held until its span is over, and is not renewed.
             Answer::Refused(Refusal::Revoked) => {}
             Answer::Refused(Refusal::NotHeld) => {
-                self.lose(now, steps);
+                self.lose(steps);
                 self.ask_at = now;
             }
             Answer::Refused(refusal) => {
-                self.lose(now, steps);
+                self.lose(steps);
                 steps.push(Step::Refused(*refusal));
             }
         }
     }
 
-    fn lose(&mut self, _now: Nanos, steps: &mut Vec<Step>) {
+    fn lose(&mut self, steps: &mut Vec<Step>) {
         if self.hold.take().is_some() {
             steps.push(Step::Lost);
         }
     }
 
-    /// The lease may be free: a waiter need not wait to ask again.
-    pub fn hint(&mut self, now: Nanos) {
-        if self.hold.is_none() && self.wanted {
-            self.ask_at = self.ask_at.min(now);
-        }
-    }
-
     /// Who was asked does not answer: another may be asked now.
     pub fn unanswered(&mut self, now: Nanos) {
         if self.asked.is_some() {
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -201,7 +201,8 @@
     last_token: Token,
 }
 
-fn named_well(name: &str) -> bool {
+/// Whether a lease or a member may have this name.
+pub fn named_well(name: &str) -> bool {
     (1..=NAME_MAX).contains(&name.len()) && !name.chars().any(char::is_control)
 }
 
--- a/crates/fleet/src/log.rs
+++ b/crates/fleet/src/log.rs
@@ -1,5 +1,6 @@
 //! A voter's log as raft reads it: what is stored, mirrored in memory, behind the last snapshot.
 
+use crate::voter::Batch;
 use raft::eraftpb::{ConfState, Entry, HardState, Snapshot};
 use raft::{Error, GetEntriesContext, RaftState, Result, Storage, StorageError};
 
@@ -47,8 +48,17 @@
         self.entries.extend(entries.iter().skip(known).cloned());
     }
 
+    /// Writes a batch, but for a snapshot of the own state.
+    pub(crate) fn write(&mut self, batch: &Batch) {
+        batch.snapshot.iter().for_each(|snapshot| self.restore(snapshot));
+        self.append(&batch.entries);
+        if let Some(hard) = &batch.hard {
+            self.hard = hard.clone();
+        }
+    }
+
     /// Takes a leader's snapshot in place of all before it.
-    pub(crate) fn restore(&mut self, snapshot: &Snapshot) {
+    fn restore(&mut self, snapshot: &Snapshot) {
         let index = snapshot.get_metadata().index;
         if index <= self.base() {
             return;
--- a/crates/fleet/src/voter.rs
+++ b/crates/fleet/src/voter.rs
@@ -10,7 +10,7 @@
 use crate::log::Log;
 use crate::span::{Nanos, Spans};
 use protobuf::Message as _;
-use raft::eraftpb::{Entry, EntryType, HardState, Message, MessageType, Snapshot};
+use raft::eraftpb::{ConfState, Entry, EntryType, HardState, Message, MessageType, Snapshot};
 use raft::{Config, RawNode, StateRole};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -87,16 +87,8 @@
 
     /// Writes a batch, all of it.
     pub fn write(&mut self, batch: &Batch) {
-        if let Some(snapshot) = &batch.snapshot {
-            self.log.restore(snapshot);
-        }
-        self.log.append(&batch.entries);
-        if let Some(hard) = &batch.hard {
-            self.log.hard = hard.clone();
-        }
-        if let Some(snapshot) = &batch.compacted {
-            self.log.compact(snapshot);
-        }
+        self.log.write(batch);
+        batch.compacted.iter().for_each(|snapshot| self.log.compact(snapshot));
     }
 
     /// From what a store has read back.
@@ -336,8 +328,7 @@
         if message.to != id || message.from == id {
             return frame(format!("from {} to {} at {id}", message.from, message.to));
         }
-        let voters = &self.raw.raft.prs().conf().to_conf_state().voters;
-        if !voters.contains(&message.from) {
+        if !self.raw.store().conf.voters.contains(&message.from) {
             return frame(format!("{} is no voter", message.from));
         }
         self.check(&message)?;
@@ -415,16 +406,12 @@
             }
             MessageType::MsgSnapshot => {
                 let meta = message.get_snapshot().get_metadata();
-                let own = self.raw.raft.prs().conf().to_conf_state();
-                let same = |theirs: &[u64]| {
-                    let sorted = |ids: &[u64]| {
-                        let mut ids = ids.to_vec();
-                        ids.sort_unstable();
-                        ids
-                    };
-                    sorted(theirs) == sorted(&own.voters)
+                let sorted = |conf: &ConfState| {
+                    let mut voters = conf.voters.clone();
+                    voters.sort_unstable();
+                    voters
                 };
-                if !same(&meta.get_conf_state().voters)
+                if sorted(meta.get_conf_state()) != sorted(&self.raw.store().conf)
                     || meta.index > MAX_INDEX
                     || meta.term > message.term
                 {
@@ -474,12 +461,7 @@
             // Spans that it brings count from now, should this voter lead.
             self.grantor.follow();
         }
-        let log = self.raw.mut_store();
-        batch.snapshot.iter().for_each(|snapshot| log.restore(snapshot));
-        log.append(&batch.entries);
-        if let Some(hard) = &batch.hard {
-            log.hard = hard.clone();
-        }
+        self.raw.mut_store().write(&batch);
         self.raw.advance_append_async(ready);
         batch.answers = self.apply(now, &committed);
         if batch.snapshot.is_none() && !committed.is_empty() {
--- a/crates/fleetnet/src/member.rs
+++ b/crates/fleetnet/src/member.rs
@@ -126,14 +126,14 @@
     voters: &[SocketAddr],
     command: Command,
 ) -> Option<Answer> {
-    for round in 0..ROUNDS {
-        for (n, voter) in voters.iter().enumerate() {
+    // Each is put on a link of its own, where no other is.
+    let question = Frame::Ask { number: 0, command };
+    for _ in 0..ROUNDS {
+        for voter in voters {
             let Some(mut wire) = reach(fleet, owner.clone(), *voter).await else { continue };
-            let number = (owner.incarnation << 32) + u64::from(round) * 64 + n as u64;
-            let question = Frame::Ask { number, command: command.clone() };
-            match exchange(&mut wire, &question).await {
-                Some(Frame::Answer { number: of, answer }) if of == number => return Some(answer),
-                _ => {}
+            if let Some(Frame::Answer { number: 0, answer }) = exchange(&mut wire, &question).await
+            {
+                return Some(answer);
             }
         }
         sleep(MOVE_ON).await;
--- a/crates/fleetnet/src/node.rs
+++ b/crates/fleetnet/src/node.rs
@@ -3,8 +3,9 @@
 //! It wants a thread of its own: each write is synced in place, and nothing else waits for it.
 
 use crate::clock;
-pub use crate::frame::Report;
-use crate::frame::{codec, open_up, pack, unpack, Frame, Hello, LinkError, Speaker, VERSION};
+use crate::frame::{
+    codec, open_up, pack, unpack, Frame, Hello, LinkError, Report, Speaker, VERSION,
+};
 use crate::store::{Store, StoreError};
 use futures_util::{SinkExt, StreamExt};
 use mintshelf_fleet::span::{Nanos, Spans, MS, SECOND};
@@ -97,7 +98,8 @@
     drop(inbox);
     let mut ticks = interval(Duration::from_nanos(voter.tick_span()));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut node = Node { voter, store, links: HashMap::new(), asked: BTreeMap::new() };
+    let (links, peers, asked) = (HashMap::new(), BTreeMap::new(), BTreeMap::new());
+    let mut node = Node { voter, store, links, peers, asked };
     tokio::pin!(stop);
     loop {
         tokio::select! {
@@ -125,6 +127,8 @@
     voter: Voter,
     store: Store,
     links: HashMap<u64, Link>,
+    /// The last link of each other voter; it may be down.
+    peers: BTreeMap<u64, u64>,
     asked: BTreeMap<Ticket, (u64, u64)>,
 }
 
@@ -133,8 +137,9 @@
         match event {
             Inbox::Up { link, speaker, out } => {
                 // A voter has one link: what came before is gone at the other end.
-                if matches!(speaker, Speaker::Voter(_)) {
-                    self.links.retain(|_, known| known.speaker != speaker);
+                if let Speaker::Voter(id) = speaker {
+                    let before = self.peers.insert(id, link);
+                    before.into_iter().for_each(|before| drop(self.links.remove(&before)));
                 }
                 self.links.insert(link, Link { speaker, out });
             }
@@ -202,8 +207,7 @@
 
     fn post(&self, messages: Vec<raft::eraftpb::Message>) -> Result<(), NodeError> {
         for message in messages {
-            let to = Speaker::Voter(message.to);
-            if let Some((link, _)) = self.links.iter().find(|(_, link)| link.speaker == to) {
+            if let Some(link) = self.peers.get(&message.to) {
                 self.say(*link, &Frame::Raft(encode(&message)?));
             }
         }
--- a/crates/mintshelf/src/fleet.rs
+++ b/crates/mintshelf/src/fleet.rs
@@ -1,11 +1,12 @@
 //! The process as one of a fleet: a voter beside the traffic, and the commands that ask voters.
 
-use crate::{check, lease_run, UNUSABLE};
+use crate::{check, lease_run, runtime, UNUSABLE};
 use mintshelf_config::model::{Fleet, FleetVoter};
 use mintshelf_fleet::lease::{self, Answer, Command, Owner};
 use mintshelf_fleet::voter::Stored;
+use mintshelf_fleetnet::frame::Report;
 use mintshelf_fleetnet::member::{ask, tell};
-use mintshelf_fleetnet::node::{run, Plan, Report};
+use mintshelf_fleetnet::node::{run, Plan};
 use mintshelf_fleetnet::store::{Identity, Opened, Store};
 use serde_json::json;
 use std::ffi::OsString;
@@ -70,10 +71,7 @@
         others: all.into_iter().filter(|(other, _)| *other != id).collect(),
         spans: fleet.spans,
     };
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(|error| format!("runtime: {error}"))?;
+    let runtime = runtime()?;
     let (stop, stopped) = oneshot::channel::<()>();
     let name = fleet.name.clone();
     let vote = move || {
@@ -96,34 +94,30 @@
     Ok(Some(Voting { stop: Some(stop), thread: Some(thread) }))
 }
 
+/// Done, or the exit code of a command that has said why not.
+type Done = Result<(), ExitCode>;
+
+/// Says what went wrong.
+fn failed(what: String) -> ExitCode {
+    eprintln!("mintshelf: {what}");
+    ExitCode::FAILURE
+}
+
 /// A file's fleet, or what is wrong, and the exit code.
 fn of(config: &Path) -> Result<Fleet, ExitCode> {
     let file = check::read(config).map_err(|unusable| {
         unusable.lines().iter().for_each(|line| eprintln!("mintshelf: {line}"));
         unusable.code()
     })?;
-    file.fleet.ok_or_else(|| {
-        eprintln!("mintshelf: {}: has no [fleet]", config.display());
-        ExitCode::FAILURE
-    })
+    file.fleet.ok_or_else(|| failed(format!("{}: has no [fleet]", config.display())))
 }
 
 /// `mintshelf fleet init`: writes the beginning of a new fleet into this voter's store.
-pub fn init(config: &Path) -> ExitCode {
-    let fleet = match of(config) {
-        Ok(fleet) => fleet,
-        Err(code) => return code,
-    };
-    match begin(&fleet) {
-        Ok(what) => {
-            println!("{what}");
-            ExitCode::SUCCESS
-        }
-        Err(what) => {
-            eprintln!("mintshelf: {what}");
-            ExitCode::FAILURE
-        }
-    }
+fn init(config: &Path) -> Done {
+    let fleet = of(config)?;
+    let what = begin(&fleet).map_err(failed)?;
+    println!("{what}");
+    Ok(())
 }
 
 fn begin(fleet: &Fleet) -> Result<String, String> {
@@ -146,13 +140,6 @@
     ))
 }
 
-fn runtime() -> Result<tokio::runtime::Runtime, ExitCode> {
-    tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|error| {
-        eprintln!("mintshelf: runtime: {error}");
-        ExitCode::FAILURE
-    })
-}
-
 /// A life of this command's own.
 fn owner(fleet: &Fleet) -> Owner {
     use std::hash::{BuildHasher, Hasher, RandomState};
@@ -162,7 +149,7 @@
 
 /// What each voter says of itself, in the order of the file; none where it does not answer.
 fn reports(fleet: &Fleet) -> Result<Vec<Option<Report>>, ExitCode> {
-    let runtime = runtime()?;
+    let runtime = runtime().map_err(failed)?;
     let owner = owner(fleet);
     let all = fleet.voters.iter().map(|voter| {
         let (name, owner, at) = (fleet.fleet.clone(), owner.clone(), voter.address);
@@ -184,14 +171,9 @@
 }
 
 /// `mintshelf fleet status`.
-pub fn status(config: &Path, as_json: bool) -> ExitCode {
-    let (fleet, reports) = match of(config).and_then(|fleet| {
-        let reports = reports(&fleet)?;
-        Ok((fleet, reports))
-    }) {
-        Ok(both) => both,
-        Err(code) => return code,
-    };
+fn status(config: &Path, as_json: bool) -> Done {
+    let fleet = of(config)?;
+    let reports = reports(&fleet)?;
     let leads = leader(&reports);
     let newest = reports.iter().flatten().map(|r| r.status.committed).max().unwrap_or(0);
     let lag = |report: &Report| newest.saturating_sub(report.status.applied);
@@ -210,7 +192,7 @@
                 }),
             })
             .collect();
-        let leader = leads.and_then(|r| fleet.voters.get(r.status.id as usize - 1));
+        let leader = leads.and_then(|r| fleet.voters.get((r.status.id as usize).checked_sub(1)?));
         let whole = json!({"fleet": fleet.fleet, "leader": leader.map(|v| &v.name),
                            "voters": voters, "leases": leads.map_or(0, |r| r.leases.len())});
         println!("{whole:#}");
@@ -237,38 +219,26 @@
             }
         }
     }
-    match leads {
-        Some(_) => ExitCode::SUCCESS,
-        None => {
-            eprintln!("mintshelf: nobody leads: {}", majority(&fleet, &reports));
-            ExitCode::from(NOBODY)
-        }
-    }
+    leads.map(drop).ok_or_else(|| nobody_leads(&fleet, &reports))
 }
 
-fn majority(fleet: &Fleet, reports: &[Option<Report>]) -> String {
+/// Says that nothing is agreed now.
+fn nobody_leads(fleet: &Fleet, reports: &[Option<Report>]) -> ExitCode {
     let (all, here) = (fleet.voters.len(), reports.iter().flatten().count());
-    format!("{here} of {all} voters answer, {} are needed", all / 2 + 1)
+    let needed = all / 2 + 1;
+    eprintln!("mintshelf: nobody leads: {here} of {all} voters answer, {needed} are needed");
+    ExitCode::from(NOBODY)
 }
 
 /// `mintshelf lease list` and `show`.
-pub fn leases(config: &Path, one: Option<&str>, as_json: bool) -> ExitCode {
-    let (fleet, reports) = match of(config).and_then(|fleet| {
-        let reports = reports(&fleet)?;
-        Ok((fleet, reports))
-    }) {
-        Ok(both) => both,
-        Err(code) => return code,
-    };
-    let Some(report) = leader(&reports) else {
-        eprintln!("mintshelf: nobody leads: {}", majority(&fleet, &reports));
-        return ExitCode::from(NOBODY);
-    };
+fn leases(config: &Path, one: Option<&str>, as_json: bool) -> Done {
+    let fleet = of(config)?;
+    let reports = reports(&fleet)?;
+    let report = leader(&reports).ok_or_else(|| nobody_leads(&fleet, &reports))?;
     let chosen = report.leases.iter().filter(|(name, _)| one.is_none_or(|one| one == name));
     let chosen: Vec<_> = chosen.collect();
     if let (Some(one), true) = (one, chosen.is_empty()) {
-        eprintln!("mintshelf: nobody holds or waits for '{one}'");
-        return ExitCode::FAILURE;
+        return Err(failed(format!("nobody holds or waits for '{one}'")));
     }
     if as_json {
         let of = |(name, lease): &&(String, mintshelf_fleet::lease::Lease)| {
@@ -281,7 +251,7 @@
             json!({"lease": name, "held": held, "waiting": queue.collect::<Vec<_>>()})
         };
         println!("{:#}", serde_json::Value::from(chosen.iter().map(of).collect::<Vec<_>>()));
-        return ExitCode::SUCCESS;
+        return Ok(());
     }
     println!(
         "{:<24} {:<16} {:>8} {:>9} {:>9}  waiting",
@@ -302,33 +272,24 @@
             ),
         }
     }
-    ExitCode::SUCCESS
+    Ok(())
 }
 
 /// `mintshelf lease release`: its holder is not renewed, and it ends with its span.
-pub fn release(config: &Path, lease: &str) -> ExitCode {
-    let fleet = match of(config) {
-        Ok(fleet) => fleet,
-        Err(code) => return code,
-    };
-    let runtime = match runtime() {
-        Ok(runtime) => runtime,
-        Err(code) => return code,
-    };
+fn release(config: &Path, lease: &str) -> Done {
+    let fleet = of(config)?;
+    let runtime = runtime().map_err(failed)?;
     let voters: Vec<SocketAddr> = fleet.voters.iter().map(|voter| voter.address).collect();
     let command = Command::Revoke { lease: lease.to_owned() };
     match runtime.block_on(ask(&fleet.fleet, owner(&fleet), &voters, command)) {
         Some(Answer::Done) => {
             println!("'{lease}' is not renewed any more, and ends with its span");
-            ExitCode::SUCCESS
-        }
-        Some(Answer::Refused(refusal)) => {
-            eprintln!("mintshelf: '{lease}': {refusal}");
-            ExitCode::FAILURE
+            Ok(())
         }
+        Some(Answer::Refused(refusal)) => Err(failed(format!("'{lease}': {refusal}"))),
         _ => {
             eprintln!("mintshelf: no voter answers: try again when a majority is back");
-            ExitCode::from(NOBODY)
+            Err(ExitCode::from(NOBODY))
         }
     }
 }
@@ -340,21 +301,20 @@
     wait: Duration,
     span: Option<Duration>,
     command: Vec<OsString>,
-) -> ExitCode {
-    let fleet = match of(config) {
-        Ok(fleet) => fleet,
-        Err(code) => return code,
-    };
+) -> Result<ExitCode, ExitCode> {
+    let fleet = of(config)?;
     let span = span.map_or(fleet.spans.lease, |span| span.as_nanos() as u64);
     if !(lease_run::SPAN_MIN..=lease::SPAN_MAX).contains(&span) {
         eprintln!("mintshelf: --span is 1s to 24h");
-        return ExitCode::from(UNUSABLE);
+        return Err(ExitCode::from(UNUSABLE));
     }
     let owner = owner(&fleet);
     // Two runs beside one another are two members.
     let member = format!("{}#{}", owner.member, std::process::id());
     let owner = Owner { member, ..owner };
-    lease_run::run(&fleet, owner, lease_run::Task { lease, span, wait, command })
+    let task = lease_run::Task { lease, span, wait, command };
+    let runtime = runtime().map_err(failed)?;
+    runtime.block_on(lease_run::run(&fleet, owner, task)).map(ExitCode::from).map_err(failed)
 }
 
 /// The commands about the fleet.
@@ -444,22 +404,26 @@
     },
 }
 
+fn code(done: Done) -> ExitCode {
+    done.err().unwrap_or(ExitCode::SUCCESS)
+}
+
 /// Does one of them.
 pub fn fleet_command(command: FleetCommand) -> ExitCode {
     match command {
-        FleetCommand::Init { config } => init(&config),
-        FleetCommand::Status { config, json } => status(&config, json),
+        FleetCommand::Init { config } => code(init(&config)),
+        FleetCommand::Status { config, json } => code(status(&config, json)),
     }
 }
 
 /// Does one of them.
 pub fn lease_command(command: LeaseCommand) -> ExitCode {
     match command {
-        LeaseCommand::List { config, json } => leases(&config, None, json),
-        LeaseCommand::Show { name, config, json } => leases(&config, Some(&name), json),
-        LeaseCommand::Release { name, config } => release(&config, &name),
+        LeaseCommand::List { config, json } => code(leases(&config, None, json)),
+        LeaseCommand::Show { name, config, json } => code(leases(&config, Some(&name), json)),
+        LeaseCommand::Release { name, config } => code(release(&config, &name)),
         LeaseCommand::Run { name, config, wait, span, command } => {
-            take(&config, name, wait, span, command)
+            take(&config, name, wait, span, command).unwrap_or_else(|code| code)
         }
         LeaseCommand::Guard { span_ns, until_ns, command } => {
             lease_run::guard_main(span_ns, until_ns, &command)
--- a/crates/mintshelf/src/lease_run.rs
+++ b/crates/mintshelf/src/lease_run.rs
@@ -42,22 +42,11 @@
     pub command: Vec<OsString>,
 }
 
-/// Holds a lease and runs the command under it.
-pub fn run(fleet: &Fleet, owner: Owner, task: Task) -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    match runtime
-        .map_err(|error| error.to_string())
-        .and_then(|runtime| runtime.block_on(under_lease(fleet, owner, task)))
-    {
-        Ok(code) => ExitCode::from(code),
-        Err(what) => {
-            eprintln!("mintshelf: {what}");
-            ExitCode::FAILURE
-        }
-    }
-}
-
-async fn under_lease(fleet: &Fleet, owner: Owner, task: Task) -> Result<u8, String> {
+/// Holds a lease and runs the command under it; the exit code.
+///
+/// # Errors
+/// The guard can't be started.
+pub async fn run(fleet: &Fleet, owner: Owner, task: Task) -> Result<u8, String> {
     let want = Want {
         fleet: fleet.fleet.clone(),
         voters: fleet.voters.iter().map(|voter| voter.address).collect(),
--- a/crates/mintshelf/src/main.rs
+++ b/crates/mintshelf/src/main.rs
@@ -17,6 +17,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
+use tokio::runtime::Runtime;
 use tokio::task::LocalSet;
 
 /// Exit code for a file that can't be read or a command that can't be understood.
@@ -93,12 +94,15 @@
     Json,
 }
 
+/// What runs futures on one thread.
+fn runtime() -> Result<Runtime, String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.map_err(|error| format!("runtime: {error}"))
+}
+
 /// Runs a future that stays on this thread.
 fn block_on(future: impl Future<Output = Result<(), String>>) -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let result = runtime
-        .map_err(|e| format!("runtime: {e}"))
-        .and_then(|runtime| LocalSet::new().block_on(&runtime, future));
+    let result = runtime().and_then(|runtime| LocalSet::new().block_on(&runtime, future));
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
--- a/crates/mintshelf/tests/fleet.rs
+++ b/crates/mintshelf/tests/fleet.rs
@@ -114,15 +114,7 @@
     }
 
     fn member(&self, name: &str) -> Member {
-        let want = Want {
-            fleet: "f".into(),
-            voters: self.at.clone(),
-            owner: Owner { member: name.into(), incarnation: 1 },
-            lease: "task".into(),
-            span: LONG_LEASE,
-            error: ClockError::default(),
-            wait: true,
-        };
+        let want = want(&self.at, name, 1, LONG_LEASE);
         let (said, standing) = watch::channel(Standing::default());
         let (stop, stopped) = oneshot::channel::<()>();
         let thread = thread::spawn(move || {
@@ -133,6 +125,19 @@
     }
 }
 
+/// The lease that all tests are about.
+fn want(voters: &[SocketAddr], member: &str, incarnation: u64, span: u64) -> Want {
+    Want {
+        fleet: "f".into(),
+        voters: voters.to_vec(),
+        owner: Owner { member: member.into(), incarnation },
+        lease: "task".into(),
+        span,
+        error: ClockError::default(),
+        wait: true,
+    }
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         self.processes.clear();
@@ -250,15 +255,7 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         while !record.over.load(Ordering::Relaxed) {
             life += 1;
-            let want = Want {
-                fleet: "f".into(),
-                voters: voters.clone(),
-                owner: Owner { member: format!("m{who}"), incarnation: life },
-                lease: "task".into(),
-                span: LEASE,
-                error: ClockError::default(),
-                wait: true,
-            };
+            let want = want(&voters, &format!("m{who}"), life, LEASE);
             let (said, standing) = watch::channel(Standing::default());
             let turns = 2 + rng.next_u32() % 6;
             let draw = rng.next_u64();
