Answer all that is taken after SIGTERM before SIGKILL can come

Ruled out: a listener that is not woken (accepting by hand found nothing), lingering connections (each ended by its client within a millisecond).

Change: answers after SIGTERM close their connections; a request taken then waits as long as the process has (mintshelf_limits::ending, no I/O); at the end all that is open is answered at once, refused if it is safe or never ran, failed otherwise; idle connections with unread bytes are served first.

--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 pub mod answers;
+pub mod ending;
 pub mod gate;
 pub mod rate;
 pub mod schedule;
--- /dev/null
+++ b/crates/limits/tests/ending.rs
@@ -0,0 +1,43 @@
+//! The planned end: what it leaves of a request's time, and what is told when it is over.
+
+use mintshelf_balancer::api::Effect;
+use mintshelf_limits::ending::{Ending, Verdict};
+use proptest::prelude::*;
+
+const MS: u64 = 1_000_000;
+
+proptest! {
+    /// Whoever is taken is told before the process can be killed, and never has more time
+    /// than its client gave it.
+    #[test]
+    fn no_patience_outlives_the_process(
+        begun in 0..u64::MAX / 2,
+        longest in 0..10_000 * MS,
+        late in 0..6_000 * MS,
+        asked in 0..20_000 * MS,
+    ) {
+        let ending = Ending::new(begun, longest);
+        let killed = begun + longest.min(3_000 * MS) + 700 * MS;
+        prop_assert!(ending.cut_at() < killed);
+        prop_assert!(ending.cut_at() + 300 * MS > killed, "time is given away");
+        let now = begun + late;
+        match ending.patience(now, asked) {
+            Some(patience) => {
+                prop_assert!(patience <= asked);
+                prop_assert!(now + patience <= ending.cut_at());
+                // Only as much is taken as must be.
+                prop_assert!(patience == asked || now + patience == ending.cut_at());
+            }
+            None => prop_assert!(now >= ending.cut_at()),
+        }
+    }
+}
+
+#[test]
+fn only_what_may_be_repeated_is_refused() {
+    use {Effect::*, Verdict::*};
+    let told = |effect| [false, true].map(|may_have_run| Ending::verdict(effect, may_have_run));
+    assert_eq!(told(Safe), [Refuse, Refuse]);
+    assert_eq!(told(Keyed), [Refuse, Fail]);
+    assert_eq!(told(Unsafe), [Refuse, Fail]);
+}
--- a/crates/mintshelf/src/platform.rs
+++ b/crates/mintshelf/src/platform.rs
@@ -75,7 +75,7 @@
     };
     let front = Platform::new(driver.clone(), settings, names, &limits);
     let clients = Rc::new(Clients::default());
-    let inbound = Inbound::new(front, clients.clone(), &limits, patience, draining.clone());
+    let inbound = Inbound::new(front.clone(), clients.clone(), &limits, patience, draining.clone());
     eprintln!("mintshelf: {name} listens on {listen}");
     let reloads = async {
         while reload.recv().await.is_some() {
@@ -92,7 +92,7 @@
     let end = async {
         terminated.recv().await;
         draining.cancel();
-        sleep(stay).await;
+        tokio::join!(front.end(), sleep(stay));
         while !clients.is_empty() {
             sleep(END_CHECK).await;
         }
--- /dev/null
+++ b/crates/mintshelf/tests/ending.rs
@@ -0,0 +1,155 @@
+//! The planned end of the platform's sidecar: clients go on sending on whatever stays open, some
+//! servers say nothing, and a supervisor kills the process as soon as it may.
+
+use mintshelf_testkit::*;
+use serde_json::json;
+use std::collections::HashMap;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_mintshelf");
+/// Deadline of every class.
+const DEADLINE: Duration = Duration::from_millis(1_500);
+/// So long after SIGTERM comes SIGKILL: no sooner than the longest deadline and 0.7 s, and on a
+/// busy machine somewhat later.
+const KILLED: Duration = Duration::from_millis(1_500 + 700 + 300);
+
+/// A configuration whose classes have [`DEADLINE`], and advice is passed on.
+fn short(discovery: SocketAddr, known: Vec<serde_json::Value>) -> serde_json::Value {
+    let mut config = config(discovery, known);
+    for class in config["settings"]["classes"].as_array_mut().unwrap() {
+        class["deadline"] = json!(DEADLINE.as_nanos() as u64);
+    }
+    config["settings"]["limits"]["max-retry-after"] = json!(2_000_000_000u64);
+    config
+}
+
+/// A request whose client would wait for longer than any process lives.
+fn patient(class: &str, id: &str) -> Vec<u8> {
+    let text = String::from_utf8(request(class, id)).unwrap();
+    text.replace("X-Remaining-Ms: 8000", "X-Remaining-Ms: 60000").into_bytes()
+}
+
+/// What became of a request.
+#[derive(Debug)]
+struct End {
+    sent: Instant,
+    /// Its answer and when that was whole; none if the connection ended without one.
+    answer: Option<(Message, Instant)>,
+}
+
+/// A client that sends one request after another on one connection for as long as that stays
+/// open. What it sends on a connection that was closed just then counts as not taken.
+fn persist(at: SocketAddr, name: String, over: &AtomicBool, ends: &Mutex<HashMap<String, End>>) {
+    let Some(mut stream) = connect(at) else { return };
+    for number in 0.. {
+        // Refused at once it would only spin.
+        thread::sleep(Duration::from_millis(2));
+        let id = format!("{name}-{number}");
+        let sent = Instant::now();
+        if over.load(Ordering::Relaxed) || stream.write_all(&patient("safe", &id)).is_err() {
+            return;
+        }
+        let answer = Message::read(&mut stream).map(|answer| (answer, Instant::now()));
+        let last = match &answer {
+            Some((answer, _)) => answer.header("connection") == Some("close"),
+            None => true,
+        };
+        ends.lock().unwrap().insert(id, End { sent, answer });
+        if last {
+            return;
+        }
+    }
+}
+
+#[test]
+fn whatever_is_taken_after_the_signal_is_answered_before_the_kill() {
+    // Every fourth request is met with silence, the rest after a while.
+    let server = Server::start(|request, _| {
+        let id = request.header("x-txn").unwrap();
+        let number = id.rsplit('-').next().unwrap().parse::<u32>().unwrap();
+        if number % 4 == 3 {
+            return None;
+        }
+        thread::sleep(Duration::from_millis(40));
+        Some(answer("served"))
+    });
+    let discovery = Discovery::start(1, vec![server.entry("a")]);
+    let mut sidecar = Sidecar::start(PROGRAM, short(discovery.at, vec![server.entry("a")]));
+    let (over, ends) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(HashMap::new())));
+    let clients: Vec<_> = (0..24)
+        .map(|client| {
+            // Spread over the time that one request may hang.
+            thread::sleep(Duration::from_millis(60));
+            let (over, ends, at) = (over.clone(), ends.clone(), sidecar.at);
+            thread::spawn(move || persist(at, format!("c{client}"), &over, &ends))
+        })
+        .collect();
+    let told = Instant::now();
+    sidecar.signal("TERM");
+    thread::sleep(KILLED.saturating_sub(told.elapsed()));
+    let _ = sidecar.child.kill();
+    over.store(true, Ordering::Relaxed);
+    clients.into_iter().for_each(|client| client.join().unwrap());
+    let ends = ends.lock().unwrap();
+    let after: Vec<_> = ends.iter().filter(|(_, end)| end.sent > told).collect();
+    for (id, end) in ends.iter() {
+        let (answer, whole) = end.answer.as_ref().unwrap_or_else(|| {
+            let late = end.sent.saturating_duration_since(told);
+            panic!("{id}, sent {late:?} after the signal, has no answer: {end:?}")
+        });
+        assert!(*whole < told + KILLED, "{id}");
+        assert!([200, 502, 503].contains(&answer.status()), "{id}: {}", answer.head);
+        if *whole > told + Duration::from_millis(50) {
+            assert_eq!(answer.header("connection"), Some("close"), "{id}: {}", answer.head);
+        }
+    }
+    assert!(!after.is_empty(), "nobody sent anything after the signal");
+    assert!(ends.len() > 48, "{} requests", ends.len());
+}
+
+/// Writes a request and gives the connection back.
+fn send(at: SocketAddr, bytes: &[u8]) -> TcpStream {
+    let mut stream = connect(at).unwrap();
+    stream.write_all(bytes).unwrap();
+    stream
+}
+
+#[test]
+fn at_the_last_moment_only_what_cannot_have_run_is_refused() {
+    let server = Server::start(|_, _| None);
+    let discovery = Discovery::start(1, vec![server.entry("a")]);
+    let mut config = short(discovery.at, vec![server.entry("a")]);
+    // Longer than what is left: their deadlines would come after the kill.
+    for class in config["settings"]["classes"].as_array_mut().unwrap() {
+        class["deadline"] = json!(30_000_000_000u64);
+    }
+    let mut sidecar = Sidecar::start(PROGRAM, config);
+    let classes = ["safe", "keyed", "unsafe"];
+    let mut streams = classes.map(|class| send(sidecar.at, &patient(class, class)));
+    wait_until("all are at the server", || server.seen().len() == 3);
+    // This one's end never comes: it is not taken.
+    let half = send(sidecar.at, b"GET /api HTTP/1.1\r\nHost: a\r\n");
+    let told = Instant::now();
+    sidecar.signal("TERM");
+    let got = streams.each_mut().map(|stream| Message::read(stream).unwrap());
+    let took = told.elapsed();
+    assert!(took < Duration::from_millis(4_500), "{took:?}");
+    assert!(took > Duration::from_millis(3_000), "{took:?}: servers were given too little time");
+    assert_eq!(got.each_ref().map(Message::status), [503, 502, 502]);
+    assert!(got[0].header("retry-after").is_some(), "{}", got[0].head);
+    // Nothing was sent twice on the way.
+    assert_eq!(server.seen().len(), 3);
+    // No time is left for more: refused at once, and sent to nobody.
+    let asked = Instant::now();
+    let late = sidecar.ask(&patient("unsafe", "late")).unwrap();
+    assert_eq!(late.status(), 503, "{}", late.head);
+    assert!(asked.elapsed() < Duration::from_secs(1));
+    assert_eq!(server.seen().len(), 3);
+    drop(half);
+    assert!(sidecar.running(), "it goes on until its clients have had time to leave");
+}
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -105,6 +105,11 @@
         self.since.set(Instant::now());
     }
 
+    /// Whether bytes wait to be read.
+    pub fn has_pending(&self) -> bool {
+        pending(&self.stream) == Pending::Bytes
+    }
+
     /// When the connection has been in its phase for too long.
     pub fn dead_at(&self) -> Instant {
         self.since.get()
@@ -183,7 +188,7 @@
             c.phase.get() <= Phase::Idle
                 && c.since.get().elapsed() >= least
                 && !c.evicted.is_cancelled()
-                && (c.phase.get() == Phase::Closing || pending(&c.stream) != Pending::Bytes)
+                && (c.phase.get() == Phase::Closing || !c.has_pending())
         };
         let victim =
             clients.values().filter(unwanted).min_by_key(|c| (c.phase.get(), c.since.get()));
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -185,6 +185,13 @@
         self.core.borrow().taken.is_empty()
     }
 
+    /// Answers all that is open, as there is no time left to wait for servers.
+    pub fn give_up(self: &Rc<Self>, after: Nanos) {
+        let mut core = self.core.borrow_mut();
+        core.give_up(&self.classes, after);
+        self.turn(&mut core);
+    }
+
     /// How many requests are open, and timers set.
     pub fn open(&self) -> (usize, usize) {
         let core = self.core.borrow();
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -10,7 +10,7 @@
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
 use std::convert::Infallible;
@@ -49,8 +49,8 @@
     /// with its own.
     const HEADERS_MAX: Option<usize> = None;
 
-    /// Answers one request; `draining` once the planned end has been announced, when every
-    /// answer closes its connection, whatever the front says. Where it
+    /// Answers one request; `draining` if the planned end was announced before it came. Once
+    /// it is, every answer closes its connection, whatever the front says. Where it
     /// sends on what it reads it enters [`Phase::Busy`] on the client first.
     fn respond(
         self: Rc<Self>,
@@ -180,10 +180,14 @@
         let socket = Socket::new(stream.clone(), client.clone(), prefix);
         let service = service_fn(|request| {
             let (front, client) = (self.front.clone(), client.clone());
-            let draining = self.draining.is_cancelled();
+            let draining = self.draining.clone();
             Box::pin(async move {
-                let mut response = front.respond(client.clone(), request, draining).await;
-                if draining {
+                let before = draining.is_cancelled();
+                let mut response = front.respond(client.clone(), request, before).await;
+                // Danger: asked again, since a request may wait for longer than the end is
+                // announced. Its client would go on with a connection that is about to die.
+                let upgraded = response.status() == StatusCode::SWITCHING_PROTOCOLS;
+                if draining.is_cancelled() && !upgraded {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(header::CONNECTION, close);
                 }
@@ -258,7 +262,8 @@
         let over = async {
             self.draining.cancelled().await;
             sleep(WIND_DOWN).await;
-            while client.phase() != Phase::Idle {
+            // What a client has written but nobody has read yet is served first.
+            while client.phase() != Phase::Idle || client.has_pending() {
                 sleep(ACCEPT_PAUSE).await;
             }
         };
--- a/crates/proxy/src/open.rs
+++ b/crates/proxy/src/open.rs
@@ -7,6 +7,7 @@
 use hyper::Request;
 use mintshelf_balancer::api::*;
 use mintshelf_balancer::decide::Balancer;
+use mintshelf_limits::ending::{Ending, Verdict};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use tokio::sync::OwnedSemaphorePermit;
@@ -142,6 +143,27 @@
         None
     }
 
+    /// Gives every request that still waits its final answer: what that class is told of one
+    /// that may have run, or not. Who is refused may come back `after`.
+    pub(crate) fn give_up(&mut self, classes: &[Class], after: Nanos) {
+        let waiting = |(id, taken): (&RequestId, &Taken)| {
+            taken.reply.as_ref()?;
+            Some((id.clone(), taken.class, taken.ran_at()))
+        };
+        let mut all: Vec<_> = self.taken.iter().filter_map(waiting).collect();
+        // The table has no order of its own.
+        all.sort_unstable_by(|a, b| a.0.cmp(&b.0));
+        for (id, class, ran_at) in all {
+            let effect = classes.get(class).map_or(Effect::Unsafe, |class| class.effect);
+            let reply = match Ending::verdict(effect, ran_at.is_some()) {
+                Verdict::Refuse => Reply::Refused { after, ran_at },
+                Verdict::Fail => Reply::Failed { timed_out: false },
+            };
+            drop(self.conclude(&id, reply));
+            self.events.push_back(Event::Abandoned { id });
+        }
+    }
+
     /// Drops a request's record once nothing more can come of it.
     pub(crate) fn forget(&mut self, id: &RequestId) {
         if self.taken.get(id).is_some_and(|t| t.reply.is_none() && t.out == 0) {
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -2,6 +2,7 @@
 
 use crate::body::Outbound;
 use crate::clients::{Client, Phase};
+use crate::clock::Clock;
 use crate::driver::{Arrival, Driver, Message, Reply};
 use crate::inbound::{Front, FrontBody};
 use crate::limits::Limits;
@@ -12,13 +13,15 @@
 use hyper::{Request, Response, StatusCode};
 use mintshelf_balancer::api::{Nanos, Settings};
 use mintshelf_config::platform::Names;
+use mintshelf_limits::ending::Ending;
+use std::cell::Cell;
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::timeout;
+use tokio::time::{sleep_until, timeout};
 
 /// Header with the id that a client gives a request.
 const TXN: &str = "x-txn";
@@ -26,18 +29,40 @@
 /// back meanwhile, and the client's time has not begun.
 const ROOM_WAIT: Duration = Duration::from_secs(1);
 
+/// A client that is refused at the planned end comes back after this: the next process has
+/// started by then.
+const RESTART_ADVICE: Nanos = 1_000_000_000;
+
 /// Requests as the platform's application sends them.
 pub struct Platform {
     driver: Rc<Driver>,
     settings: Settings,
     names: Names,
     room: Arc<Semaphore>,
+    clock: Clock,
+    ending: Cell<Option<Ending>>,
 }
 
 impl Platform {
     /// In front of a driver.
     pub fn new(driver: Rc<Driver>, settings: Settings, names: Names, limits: &Limits) -> Rc<Self> {
-        Rc::new(Platform { driver, settings, names, room: limits.bodies.clone() })
+        let room = limits.bodies.clone();
+        let (clock, ending) = (Clock::start(), Cell::new(None));
+        Rc::new(Platform { driver, settings, names, room, clock, ending })
+    }
+
+    /// Announces the planned end; all that is taken gets its final answer in the time that is
+    /// left. Back comes when that has happened.
+    pub async fn end(&self) {
+        let longest = self.settings.classes.iter().map(|class| class.deadline).max();
+        let ending = Ending::new(self.clock.now(), longest.unwrap_or(0));
+        self.ending.set(Some(ending));
+        sleep_until(self.clock.instant(ending.cut_at())).await;
+        self.driver.give_up(self.restart_advice());
+    }
+
+    fn restart_advice(&self) -> Nanos {
+        RESTART_ADVICE.min(self.settings.max_retry_after)
     }
 }
 
@@ -102,7 +127,7 @@
         if client.scan.borrow_mut().next_head().framed_twice() {
             return Err(bad("Content-Length and Transfer-Encoding\n"));
         }
-        let arrival = self.arrival(&head.headers)?;
+        let mut arrival = self.arrival(&head.headers)?;
         let txn = head.headers.get(TXN).cloned().ok_or(bad("X-Txn is missing\n"))?;
         let (body, room) = self.hold(&mut body).await?;
         client.enter(Phase::Busy);
@@ -110,6 +135,12 @@
         head.version = hyper::Version::HTTP_11;
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
         head.uri = path.parse().map_err(|_| bad("path\n"))?;
+        if let Some(ending) = self.ending.get() {
+            match ending.patience(self.clock.now(), arrival.patience) {
+                Some(patience) => arrival.patience = patience,
+                None => return Ok(Reply::Refused { after: self.restart_advice(), ran_at: None }),
+            }
+        }
         let request = Request::from_parts(head, Outbound::Held(body));
         let reply =
             self.driver.serve(arrival, Message { request, txn: Some(txn), _room: room }).await;
