--- a/crates/benchlink/src/lib.rs
+++ b/crates/benchlink/src/lib.rs
@@ -3,4 +3,5 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod host;
 pub mod wire;
