--- a/crates/fleet/src/span.rs
+++ b/crates/fleet/src/span.rs
@@ -1,5 +1,6 @@
 //! Spans on clocks that do not run alike, and whether the spans of a file can work together.
 
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 /// A time or a span on one process's steady clock, in nanoseconds. Times of two processes can't
@@ -13,7 +14,7 @@
 
 /// By how much the rate of any process's steady clock may be off the true one, in parts per
 /// million. Quartz without discipline stays within some 100, and the kernel slews by 500 at most.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ClockError {
     /// Parts per million.
     pub ppm: u32,
--- a/crates/limits/tests/ending.rs
+++ b/crates/limits/tests/ending.rs
@@ -7,6 +7,8 @@
 const MS: u64 = 1_000_000;
 
 proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
     /// Whoever is taken is told before the process can be killed, and never has more time
     /// than its client gave it.
     #[test]
--- /dev/null
+++ b/crates/shares/tests/common/mod.rs
@@ -0,0 +1,2 @@
+//! The world of the proofs in virtual time.
+pub mod world;
