--- a/crates/shares/src/lib.rs
+++ b/crates/shares/src/lib.rs
@@ -29,3 +29,4 @@
 pub mod ledger;
 pub mod rate;
 pub mod session;
+pub mod usage;
