--- a/crates/shares/src/ledger.rs
+++ b/crates/shares/src/ledger.rs
@@ -199,7 +199,10 @@
         }
         account.number = ask.number;
         (account.need, account.weight) = (ask.need, ask.weight);
-        account.promises.retain(|promise| promise.grant >= ask.confirms);
+        // Danger: one that was never made would free all. One that has ended has freed its like.
+        if account.promises.iter().any(|promise| promise.grant == ask.confirms) {
+            account.promises.retain(|promise| promise.grant >= ask.confirms);
+        }
         if ask.leaves {
             account.promises.clear();
         }
