Voters of any state; leases and budgets as one, proved with raft in virtual time

Need: the ledger of shares was proved with agreement taken for granted, and a voter could agree on leases only.

Change: mintshelf_fleet::machine::Machine, of which leases are one; shares::agreed holds leases and budgets as one state; each voter gathers its members' questions into one entry a beat, the leader's carries the ends.

The leases' tests are as they were and pass.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod holder;
 pub mod lease;
 mod log;
+pub mod machine;
 pub mod span;
 pub mod voter;
--- a/crates/fleet/src/log.rs
+++ b/crates/fleet/src/log.rs
@@ -49,7 +49,7 @@
     }
 
     /// Writes a batch, but for a snapshot of the own state.
-    pub(crate) fn write(&mut self, batch: &Batch) {
+    pub(crate) fn write<A>(&mut self, batch: &Batch<A>) {
         batch.snapshot.iter().for_each(|snapshot| self.restore(snapshot));
         self.append(&batch.entries);
         if let Some(hard) = &batch.hard {
--- /dev/null
+++ b/crates/fleet/src/machine.rs
@@ -0,0 +1,76 @@
+//! What the voters agree on, as one of them sees it: a state without a clock, and the counts that
+//! go with it while this voter leads.
+
+use crate::grantor::Grantor;
+use crate::lease::{Answer, Command, Leases};
+use crate::span::{ClockError, Nanos};
+use serde::{de::DeserializeOwned, Serialize};
+
+/// A replicated state machine. Each voter applies the same commands in the same order; time
+/// enters by commands only, which the leader proposes when its own clock says so.
+pub trait Machine: Default + Serialize + DeserializeOwned {
+    /// What can be agreed on. Sent again, late or twice none may do harm.
+    type Command: Serialize + DeserializeOwned;
+    /// What came of one.
+    type Answer;
+    /// What the leader counts.
+    type Counts;
+
+    /// The counts of one that does not lead.
+    fn counts(error: ClockError) -> Self::Counts;
+
+    /// Applies what is agreed.
+    fn apply(&mut self, command: &Self::Command) -> Self::Answer;
+
+    /// A command has been applied, by which the state is what it is.
+    fn applied(&self, now: Nanos, command: &Self::Command, counts: &mut Self::Counts);
+
+    /// This voter leads from now on: all spans run anew.
+    fn lead(&self, now: Nanos, counts: &mut Self::Counts);
+
+    /// This voter does not lead any more.
+    fn follow(counts: &mut Self::Counts);
+
+    /// Whether it counts as one that leads.
+    fn leads(counts: &Self::Counts) -> bool;
+
+    /// What is to be proposed now.
+    fn due(now: Nanos, counts: &mut Self::Counts) -> Vec<Self::Command>;
+}
+
+impl Machine for Leases {
+    type Command = Command;
+    type Answer = Answer;
+    type Counts = Grantor;
+
+    fn counts(error: ClockError) -> Grantor {
+        Grantor::new(error)
+    }
+
+    fn apply(&mut self, command: &Command) -> Answer {
+        Leases::apply(self, command)
+    }
+
+    fn applied(&self, now: Nanos, command: &Command, counts: &mut Grantor) {
+        counts.applied(now, self, command.lease());
+    }
+
+    fn lead(&self, now: Nanos, counts: &mut Grantor) {
+        counts.lead(now, self);
+    }
+
+    fn follow(counts: &mut Grantor) {
+        counts.follow();
+    }
+
+    fn leads(counts: &Grantor) -> bool {
+        counts.leads()
+    }
+
+    fn due(now: Nanos, counts: &mut Grantor) -> Vec<Command> {
+        match counts.next() {
+            Some(at) if at <= now => counts.due(now),
+            _ => Vec::new(),
+        }
+    }
+}
--- a/crates/fleet/src/voter.rs
+++ b/crates/fleet/src/voter.rs
@@ -1,13 +1,13 @@
-//! One voter: raft (the `raft` crate), the leases it agrees on, and the leader's counts.
+//! One voter: raft (the `raft` crate), the state it agrees on, and the leader's counts.
 //!
 //! Whoever drives it calls [`Voter::tick`] about every [`Voter::tick_span`], hands in what comes
 //! ([`Voter::receive`], [`Voter::propose`]) and then, until there is none, takes a [`Batch`],
 //! sends what may go at once, writes and syncs the rest, and sends what [`Voter::synced`] gives.
 //! What is promised to others leaves with that call and not before.
 
-use crate::grantor::Grantor;
-use crate::lease::{Answer, Command, Leases};
+use crate::lease::{Answer, Leases};
 use crate::log::Log;
+use crate::machine::Machine;
 use crate::span::{Nanos, Spans};
 use protobuf::Message as _;
 use raft::eraftpb::{ConfState, Entry, EntryType, HardState, Message, MessageType, Snapshot};
@@ -86,7 +86,7 @@
     }
 
     /// Writes a batch, all of it.
-    pub fn write(&mut self, batch: &Batch) {
+    pub fn write<A>(&mut self, batch: &Batch<A>) {
         self.log.write(batch);
         batch.compacted.iter().for_each(|snapshot| self.log.compact(snapshot));
     }
@@ -129,8 +129,8 @@
 }
 
 /// What is to be written and synced, in this order, and what may be sent meanwhile.
-#[derive(Debug, Default)]
-pub struct Batch {
+#[derive(Debug)]
+pub struct Batch<A = Answer> {
     /// A leader's state in place of the log.
     pub snapshot: Option<Snapshot>,
     /// Entries that replace those from their first index on.
@@ -142,12 +142,26 @@
     /// May leave before the writes are synced: they promise nothing.
     pub at_once: Vec<Message>,
     /// To who proposed here: a majority has it.
-    pub answers: Vec<(Ticket, Answer)>,
+    pub answers: Vec<(Ticket, A)>,
     /// Whether anything has been promised that must outlive a crash.
     pub must_sync: bool,
 }
 
-impl Batch {
+impl<A> Default for Batch<A> {
+    fn default() -> Self {
+        Batch {
+            snapshot: None,
+            entries: Vec::new(),
+            hard: None,
+            compacted: None,
+            at_once: Vec::new(),
+            answers: Vec::new(),
+            must_sync: false,
+        }
+    }
+}
+
+impl<A> Batch<A> {
     /// Whether there is nothing to write.
     pub fn is_empty(&self) -> bool {
         self.snapshot.is_none()
@@ -182,11 +196,11 @@
     restored: Option<u64>,
 }
 
-/// One voter.
-pub struct Voter {
+/// One voter; of leases, where it is not said of what.
+pub struct Voter<M: Machine = Leases> {
     raw: RawNode<Log>,
-    leases: Leases,
-    grantor: Grantor,
+    machine: M,
+    counts: M::Counts,
     pending: Option<Pending>,
     rng: Pcg32,
     /// The election and role that the drawn span of patience belongs to.
@@ -198,7 +212,7 @@
     ticked: Option<Nanos>,
 }
 
-impl Voter {
+impl<M: Machine> Voter<M> {
     /// Starts from what is stored. `life` differs from all former starts'.
     ///
     /// # Errors
@@ -222,13 +236,13 @@
             max_uncommitted_size: UNAGREED_MAX,
             ..Config::default()
         };
-        let leases = Self::read(log.snapshot.get_data())?;
+        let machine = Self::read(log.snapshot.get_data())?;
         let quiet = slog::Logger::root(slog::Discard, slog::o!());
         let raw = RawNode::new(&config, log, &quiet)?;
         let mut voter = Voter {
             raw,
-            leases,
-            grantor: Grantor::new(spans.error),
+            machine,
+            counts: M::counts(spans.error),
             pending: None,
             rng: Pcg32::seed_from_u64(life),
             drawn: (0, StateRole::Follower, 0),
@@ -242,9 +256,9 @@
         Ok(voter)
     }
 
-    fn read(data: &[u8]) -> Result<Leases, VoterError> {
+    fn read(data: &[u8]) -> Result<M, VoterError> {
         if data.is_empty() {
-            return Ok(Leases::default());
+            return Ok(M::default());
         }
         postcard::from_bytes(data).map_err(|error| VoterError::Stored(error.to_string()))
     }
@@ -263,11 +277,9 @@
             self.raw.tick();
         }
         self.note_role(now);
-        if self.grantor.next().is_some_and(|at| at <= now) {
-            for command in self.grantor.due(now) {
-                // Lost, it is proposed again.
-                let _ = self.propose(&command);
-            }
+        for command in M::due(now, &mut self.counts) {
+            // Lost, it is proposed again.
+            let _ = self.propose(&command);
         }
     }
 
@@ -285,10 +297,11 @@
 
     fn note_role(&mut self, now: Nanos) {
         let leads = self.raw.raft.state == StateRole::Leader;
-        if leads && !self.grantor.leads() {
-            self.grantor.lead(now, &self.leases);
-        } else if !leads && self.grantor.leads() {
-            self.grantor.follow();
+        let counts = &mut self.counts;
+        if leads && !M::leads(counts) {
+            self.machine.lead(now, counts);
+        } else if !leads && M::leads(counts) {
+            M::follow(counts);
         }
     }
 
@@ -296,7 +309,7 @@
     ///
     /// # Errors
     /// [`VoterError::NotNow`]: nobody leads as far as this voter knows, or too much is on its way.
-    pub fn propose(&mut self, command: &Command) -> Result<Ticket, VoterError> {
+    pub fn propose(&mut self, command: &M::Command) -> Result<Ticket, VoterError> {
         self.last_number += 1;
         let ticket = Ticket { voter: self.raw.raft.id, life: self.life, number: self.last_number };
         let bytes = |value: Result<Vec<u8>, postcard::Error>| {
@@ -435,7 +448,7 @@
     ///
     /// # Errors
     /// A leader's snapshot can't be read: this voter can't go on.
-    pub fn batch(&mut self, now: Nanos) -> Result<Option<Batch>, VoterError> {
+    pub fn batch(&mut self, now: Nanos) -> Result<Option<Batch<M::Answer>>, VoterError> {
         if self.pending.is_some() || !self.raw.has_ready() {
             return Ok(None);
         }
@@ -456,10 +469,10 @@
             restored: batch.snapshot.as_ref().map(|snapshot| snapshot.get_metadata().index),
         });
         if let Some(snapshot) = &batch.snapshot {
-            self.leases = Self::read(snapshot.get_data())?;
+            self.machine = Self::read(snapshot.get_data())?;
             self.applied = snapshot.get_metadata().index;
             // Spans that it brings count from now, should this voter lead.
-            self.grantor.follow();
+            M::follow(&mut self.counts);
         }
         self.raw.mut_store().write(&batch);
         self.raw.advance_append_async(ready);
@@ -480,7 +493,7 @@
         if log.kept() < SNAPSHOT_EVERY {
             return None;
         }
-        let data = postcard::to_allocvec(&self.leases).ok()?;
+        let data = postcard::to_allocvec(&self.machine).ok()?;
         log.snapshot_of(self.applied, data)
     }
 
@@ -495,14 +508,14 @@
         messages
     }
 
-    fn apply(&mut self, now: Nanos, entries: &[Entry]) -> Vec<(Ticket, Answer)> {
+    fn apply(&mut self, now: Nanos, entries: &[Entry]) -> Vec<(Ticket, M::Answer)> {
         let mut answers = Vec::new();
         for entry in entries {
             self.applied = entry.index;
             // A new leader's first entry is empty.
-            let Ok(command) = postcard::from_bytes::<Command>(&entry.data) else { continue };
-            let answer = self.leases.apply(&command);
-            self.grantor.applied(now, &self.leases, command.lease());
+            let Ok(command) = postcard::from_bytes::<M::Command>(&entry.data) else { continue };
+            let answer = self.machine.apply(&command);
+            self.machine.applied(now, &command, &mut self.counts);
             let ticket = postcard::from_bytes::<Ticket>(&entry.context).ok();
             let own =
                 |ticket: &Ticket| ticket.voter == self.raw.raft.id && ticket.life == self.life;
@@ -511,9 +524,14 @@
         answers
     }
 
-    /// The leases as far as this voter has applied them.
-    pub fn leases(&self) -> &Leases {
-        &self.leases
+    /// What is agreed, as far as this voter has applied it.
+    pub fn machine(&self) -> &M {
+        &self.machine
+    }
+
+    /// What goes with it at this voter, led or not.
+    pub fn counts(&mut self) -> &mut M::Counts {
+        &mut self.counts
     }
 
     /// What it says of itself.
@@ -530,6 +548,13 @@
     }
 }
 
+impl Voter {
+    /// The leases as far as this voter has applied them.
+    pub fn leases(&self) -> &Leases {
+        &self.machine
+    }
+}
+
 /// A message as it goes between voters.
 pub fn encode(message: &Message) -> Result<Vec<u8>, VoterError> {
     message.write_to_bytes().map_err(|error| VoterError::Frame(error.to_string()))
--- a/crates/fleetnet/src/node.rs
+++ b/crates/fleetnet/src/node.rs
@@ -88,7 +88,7 @@
     stop: impl Future<Output = ()>,
 ) -> Result<(), NodeError> {
     let life = store.opened();
-    let voter = Voter::new(plan.id, &stored, &plan.spans, life)?;
+    let voter: Voter = Voter::new(plan.id, &stored, &plan.spans, life)?;
     let (inbox, mut frames) = mpsc::channel(INBOX);
     let mut tasks = JoinSet::new();
     tasks.spawn(accept(plan.clone(), listener, inbox.clone()));
--- a/crates/shares/src/clerk.rs
+++ b/crates/shares/src/clerk.rs
@@ -1,4 +1,5 @@
-//! The leader's side: gathers questions into beats, and counts the spans of promises.
+//! A voter's side: gathers its members' questions into beats and, while it leads, counts the
+//! spans of promises.
 
 use crate::budget::MEMBERS_MAX;
 use crate::ledger::{Ask, Beat, Ended, Ledger};
@@ -27,7 +28,7 @@
     again: Nanos,
 }
 
-/// Gathers and counts while this voter leads. Bounded by the ledger's accounts, and by one
+/// Gathers, and counts while this voter leads. Bounded by the ledger's accounts, and by one
 /// question of each member.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Clerk {
@@ -40,20 +41,25 @@
     /// This voter leads from now on. Each span runs anew: when a promise was agreed, only the
     /// former leader's clock knew.
     pub fn lead(&mut self, now: Nanos, ledger: &Ledger) {
-        *self = Clerk { leads: true, ..Clerk::default() };
+        (self.leads, self.counts) = (true, BTreeMap::new());
         self.count(now, ledger);
     }
 
-    /// This voter does not lead any more; what it gathered is asked again by those who asked.
+    /// This voter does not lead any more: its counts are the next leader's.
     pub fn follow(&mut self) {
-        *self = Clerk::default();
+        (self.leads, self.counts) = (false, BTreeMap::new());
+    }
+
+    /// Whether it counts.
+    pub fn leads(&self) -> bool {
+        self.leads
     }
 
     /// Gathers a question for the next beat; of one member's the latest counts. Whether it was
-    /// taken: not without the lead, nor from more members than there can be.
+    /// taken: not from more members than there can be.
     pub fn ask(&mut self, ask: Ask) -> bool {
         let full = self.asks.len() as u64 >= MEMBERS_MAX * 2;
-        if !self.leads || full && !self.asks.contains_key(&ask.owner) {
+        if full && !self.asks.contains_key(&ask.owner) {
             return false;
         }
         let newer = self.asks.get(&ask.owner).is_none_or(|before| before.number < ask.number);
@@ -87,11 +93,8 @@
         }
     }
 
-    /// The next entry to agree on; nothing if it would be empty.
+    /// The next entry to agree on; nothing if it would be empty. Only a leader's has ends in it.
     pub fn beat(&mut self, now: Nanos) -> Option<Beat> {
-        if !self.leads {
-            return None;
-        }
         let mut ended = Vec::new();
         for (owner, counts) in &mut self.counts {
             let over = counts.running.iter().take_while(|count| count.over <= now).count();
--- a/crates/shares/src/ledger.rs
+++ b/crates/shares/src/ledger.rs
@@ -129,6 +129,18 @@
         &self.budget
     }
 
+    /// Another whole or reserve for the same budget; whether it can be taken over. What else
+    /// there is to it members have from their own files, and count by already. Of a smaller
+    /// whole, what was promised of the larger one is in use until it is confirmed or over.
+    pub fn change(&mut self, budget: Budget) -> bool {
+        let Budget { whole, reserve, .. } = budget;
+        let same = Budget { whole, reserve, ..self.budget } == budget;
+        if same {
+            self.budget = budget;
+        }
+        same
+    }
+
     /// All accounts.
     pub fn accounts(&self) -> impl Iterator<Item = (&Owner, &Account)> {
         self.accounts.iter()
--- a/crates/shares/src/lib.rs
+++ b/crates/shares/src/lib.rs
@@ -22,6 +22,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod agreed;
 pub mod budget;
 pub mod clerk;
 pub mod divide;
