The planned end goes by the driver's clock and the longest deadline already reckoned

Need: the platform's front started a second clock beside the driver's and worked out the longest deadline, which the program had just done for its time-outs.

Change: Driver::clock, and Platform::end takes the deadline. Behaviour is the same.

--- a/crates/mintshelf/src/platform.rs
+++ b/crates/mintshelf/src/platform.rs
@@ -92,7 +92,7 @@
     let end = async {
         terminated.recv().await;
         draining.cancel();
-        tokio::join!(front.end(), sleep(stay));
+        tokio::join!(front.end(longest), sleep(stay));
         while !clients.is_empty() {
             sleep(END_CHECK).await;
         }
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -180,6 +180,11 @@
         self.endpoints.address(server)
     }
 
+    /// The clock that the decisions go by.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
     /// Whether no request is open.
     pub fn is_idle(&self) -> bool {
         self.core.borrow().taken.is_empty()
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -2,7 +2,7 @@
 
 use crate::body::Outbound;
 use crate::clients::{Client, Phase};
-use crate::clock::Clock;
+use crate::clock::nanos;
 use crate::driver::{Arrival, Driver, Message, Reply};
 use crate::inbound::{Front, FrontBody};
 use crate::limits::Limits;
@@ -39,7 +39,6 @@
     settings: Settings,
     names: Names,
     room: Arc<Semaphore>,
-    clock: Clock,
     ending: Cell<Option<Ending>>,
 }
 
@@ -47,17 +46,16 @@
     /// In front of a driver.
     pub fn new(driver: Rc<Driver>, settings: Settings, names: Names, limits: &Limits) -> Rc<Self> {
         let room = limits.bodies.clone();
-        let (clock, ending) = (Clock::start(), Cell::new(None));
-        Rc::new(Platform { driver, settings, names, room, clock, ending })
+        Rc::new(Platform { driver, settings, names, room, ending: Cell::new(None) })
     }
 
-    /// Announces the planned end; all that is taken gets its final answer in the time that is
-    /// left. Back comes when that has happened.
-    pub async fn end(&self) {
-        let longest = self.settings.classes.iter().map(|class| class.deadline).max();
-        let ending = Ending::new(self.clock.now(), longest.unwrap_or(0));
+    /// Announces the planned end, of classes whose longest deadline is this; all that is taken
+    /// gets its final answer in the time that is left. Back comes when that has happened.
+    pub async fn end(&self, longest: Duration) {
+        let clock = self.driver.clock();
+        let ending = Ending::new(clock.now(), nanos(longest));
         self.ending.set(Some(ending));
-        sleep_until(self.clock.instant(ending.cut_at())).await;
+        sleep_until(clock.instant(ending.cut_at())).await;
         self.driver.give_up(self.restart_advice());
     }
 
@@ -136,7 +134,7 @@
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
         head.uri = path.parse().map_err(|_| bad("path\n"))?;
         if let Some(ending) = self.ending.get() {
-            match ending.patience(self.clock.now(), arrival.patience) {
+            match ending.patience(self.driver.clock().now(), arrival.patience) {
                 Some(patience) => arrival.patience = patience,
                 None => return Ok(Reply::Refused { after: self.restart_advice(), ran_at: None }),
             }
