One stage for rows on module and wire, one place for mutants, names and counts

The conformance rows were played by two copies of the same loops; two proofs had each their own mutants; six tests set deadlines or a client's patience by hand; a budget's name had a check of its own beside named_well; the clerk had its copy of PROPOSE_AGAIN; Counts kept 'leads', which the grantor knows; a holder kept a question's number that nobody read; targets cloned every owner at each beat; due leases were searched twice.

Change: a Stage that module and wire carry; testkit's patient and set_deadlines; common mutants and seeds in crates/shares/tests; the project's own check and constant; the latest lives by reference.

--- a/crates/fleet/src/grantor.rs
+++ b/crates/fleet/src/grantor.rs
@@ -11,7 +11,7 @@
 
 /// A proposal that has not been applied by then is made again: it may have been lost with a
 /// message.
-const PROPOSE_AGAIN: Nanos = crate::span::SECOND;
+pub const PROPOSE_AGAIN: Nanos = crate::span::SECOND;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct Count {
--- a/crates/fleet/src/machine.rs
+++ b/crates/fleet/src/machine.rs
@@ -68,9 +68,6 @@
     }
 
     fn due(now: Nanos, counts: &mut Grantor) -> Vec<Command> {
-        match counts.next() {
-            Some(at) if at <= now => counts.due(now),
-            _ => Vec::new(),
-        }
+        counts.due(now)
     }
 }
--- a/crates/mintshelf/tests/conformance/main.rs
+++ b/crates/mintshelf/tests/conformance/main.rs
@@ -3,6 +3,7 @@
 
 mod module;
 mod sidecar;
+mod stage;
 mod wire;
 
 use libtest_mimic::{Arguments, Failed, Trial};
@@ -219,8 +220,8 @@
 
 fn outcome(row: &OutcomeRow, on: On) -> Result<(), Failed> {
     let seen = match on {
-        On::Module => module::outcome(&row.given),
-        On::Wire => wire::outcome(&row.given),
+        On::Module => stage::outcome::<module::Module>(&row.given),
+        On::Wire => stage::outcome::<wire::Wire>(&row.given),
         On::Sidecar => sidecar::outcome(&row.given),
     };
     let expect = &row.expect;
@@ -235,8 +236,8 @@
 
 fn members(row: &MembersRow, on: On) -> Result<(), Failed> {
     let counts = match on {
-        On::Module => module::members(row),
-        On::Wire => wire::members(row),
+        On::Module => stage::members::<module::Module>(row),
+        On::Wire => stage::members::<wire::Wire>(row),
         On::Sidecar => sidecar::members(row),
     };
     let least = row.gets.iter().map(|server| counts[*server]).min().unwrap_or(0);
--- a/crates/mintshelf/tests/conformance/sidecar.rs
+++ b/crates/mintshelf/tests/conformance/sidecar.rs
@@ -53,12 +53,6 @@
     json!({"uid": uid, "endpoint": at.to_string(), "state": condition, "boot_ms": boot})
 }
 
-/// A request whose client waits for so long.
-fn patient(class: &str, id: &str, ms: u64) -> Vec<u8> {
-    let text = String::from_utf8(request(class, id)).unwrap();
-    text.replace("X-Remaining-Ms: 8000", &format!("X-Remaining-Ms: {ms}")).into_bytes()
-}
-
 pub fn outcome(given: &Given) -> Seen {
     let (server, seen) = meeting(given.met.clone());
     let servers = vec![entry(server.at, "a", State::Ready)];
@@ -223,10 +217,7 @@
     let servers = vec![entry(server.at, "a", State::Ready)];
     let discovery = Discovery::start(1, servers.clone());
     let mut config = config(discovery.at, servers);
-    for class in config["settings"]["classes"].as_array_mut().unwrap() {
-        class["deadline"] = json!(1_500_000_000u64);
-        class["goal-time"] = json!(1_000_000_000u64);
-    }
+    set_deadlines(&mut config, Duration::from_millis(1_500));
     let sidecar = Sidecar::start(PROGRAM, config);
     let ask = |delay: i64| {
         thread::sleep(Duration::from_millis(delay.max(0) as u64));
--- a/crates/mintshelf/tests/ending.rs
+++ b/crates/mintshelf/tests/ending.rs
@@ -21,18 +21,13 @@
 /// A configuration whose classes have [`DEADLINE`], and advice is passed on.
 fn short(discovery: SocketAddr, known: Vec<serde_json::Value>) -> serde_json::Value {
     let mut config = config(discovery, known);
-    for class in config["settings"]["classes"].as_array_mut().unwrap() {
-        class["deadline"] = json!(DEADLINE.as_nanos() as u64);
-    }
+    set_deadlines(&mut config, DEADLINE);
     config["settings"]["limits"]["max-retry-after"] = json!(2_000_000_000u64);
     config
 }
 
-/// A request whose client would wait for longer than any process lives.
-fn patient(class: &str, id: &str) -> Vec<u8> {
-    let text = String::from_utf8(request(class, id)).unwrap();
-    text.replace("X-Remaining-Ms: 8000", "X-Remaining-Ms: 60000").into_bytes()
-}
+/// Milliseconds that a client would wait: longer than any process lives.
+const PATIENCE: u64 = 60_000;
 
 /// What became of a request.
 #[derive(Debug)]
@@ -51,7 +46,9 @@
         thread::sleep(Duration::from_millis(2));
         let id = format!("{name}-{number}");
         let sent = Instant::now();
-        if over.load(Ordering::Relaxed) || stream.write_all(&patient("safe", &id)).is_err() {
+        if over.load(Ordering::Relaxed)
+            || stream.write_all(&patient("safe", &id, PATIENCE)).is_err()
+        {
             return;
         }
         let answer = Message::read(&mut stream).map(|answer| (answer, Instant::now()));
@@ -125,12 +122,10 @@
     let discovery = Discovery::start(1, vec![server.entry("a")]);
     let mut config = short(discovery.at, vec![server.entry("a")]);
     // Longer than what is left: their deadlines would come after the kill.
-    for class in config["settings"]["classes"].as_array_mut().unwrap() {
-        class["deadline"] = json!(30_000_000_000u64);
-    }
+    set_deadlines(&mut config, Duration::from_secs(30));
     let mut sidecar = Sidecar::start(PROGRAM, config);
     let classes = ["safe", "keyed", "unsafe"];
-    let mut streams = classes.map(|class| send(sidecar.at, &patient(class, class)));
+    let mut streams = classes.map(|class| send(sidecar.at, &patient(class, class, PATIENCE)));
     wait_until("all are at the server", || server.seen().len() == 3);
     // This one's end never comes: it is not taken.
     let half = send(sidecar.at, b"GET /api HTTP/1.1\r\nHost: a\r\n");
@@ -146,7 +141,7 @@
     assert_eq!(server.seen().len(), 3);
     // No time is left for more: refused at once, and sent to nobody.
     let asked = Instant::now();
-    let late = sidecar.ask(&patient("unsafe", "late")).unwrap();
+    let late = sidecar.ask(&patient("unsafe", "late", PATIENCE)).unwrap();
     assert_eq!(late.status(), 503, "{}", late.head);
     assert!(asked.elapsed() < Duration::from_secs(1));
     assert_eq!(server.seen().len(), 3);
--- a/crates/shares/src/agreed.rs
+++ b/crates/shares/src/agreed.rs
@@ -4,7 +4,7 @@
 use crate::clerk::Clerk;
 use crate::ledger::{self, Ask, Beat, Ledger};
 use mintshelf_fleet::grantor::Grantor;
-use mintshelf_fleet::lease::{self, Leases, NAME_MAX};
+use mintshelf_fleet::lease::{self, named_well, Leases};
 use mintshelf_fleet::machine::Machine;
 use mintshelf_fleet::span::{ClockError, Nanos};
 use serde::{Deserialize, Serialize};
@@ -49,7 +49,7 @@
     OtherFigures,
     /// As many as there can be.
     TooMany,
-    /// Empty, or too long.
+    /// No name: see [`named_well`].
     Name,
 }
 
@@ -79,7 +79,7 @@
 
     fn state(&mut self, name: &str, budget: Budget) -> Result<(), Unfit> {
         budget.check()?;
-        if name.is_empty() || name.len() > NAME_MAX {
+        if !named_well(name) {
             return Err(Unfit::Name);
         }
         if let Some(ledger) = self.budgets.get_mut(name) {
@@ -97,7 +97,6 @@
 #[derive(Debug, Clone)]
 pub struct Counts {
     grantor: Grantor,
-    leads: bool,
     clerks: BTreeMap<String, Clerk>,
 }
 
@@ -117,7 +116,7 @@
     type Counts = Counts;
 
     fn counts(error: ClockError) -> Counts {
-        Counts { grantor: Grantor::new(error), leads: false, clerks: BTreeMap::new() }
+        Counts { grantor: Grantor::new(error), clerks: BTreeMap::new() }
     }
 
     fn apply(&mut self, command: &Command) -> Answer {
@@ -145,7 +144,7 @@
                     let Some(ledger) = self.budgets.get(name) else { continue };
                     let clerk = counts.clerks.entry(name.clone()).or_default();
                     // One of a budget that was stated since this voter leads.
-                    if counts.leads && !clerk.leads() {
+                    if counts.grantor.leads() && !clerk.leads() {
                         clerk.lead(now, ledger);
                     }
                     clerk.applied(now, ledger);
@@ -155,7 +154,6 @@
     }
 
     fn lead(&self, now: Nanos, counts: &mut Counts) {
-        counts.leads = true;
         counts.grantor.lead(now, &self.leases);
         for (name, ledger) in &self.budgets {
             counts.clerks.entry(name.clone()).or_default().lead(now, ledger);
@@ -163,13 +161,12 @@
     }
 
     fn follow(counts: &mut Counts) {
-        counts.leads = false;
         counts.grantor.follow();
         counts.clerks.values_mut().for_each(Clerk::follow);
     }
 
     fn leads(counts: &Counts) -> bool {
-        counts.leads
+        counts.grantor.leads()
     }
 
     fn due(now: Nanos, counts: &mut Counts) -> Vec<Command> {
--- a/crates/shares/src/clerk.rs
+++ b/crates/shares/src/clerk.rs
@@ -3,14 +3,11 @@
 
 use crate::budget::MEMBERS_MAX;
 use crate::ledger::{Ask, Beat, Ended, Ledger};
+use mintshelf_fleet::grantor::PROPOSE_AGAIN;
 use mintshelf_fleet::lease::Owner;
-use mintshelf_fleet::span::{Nanos, SECOND};
+use mintshelf_fleet::span::Nanos;
 use std::collections::BTreeMap;
 
-/// A proposal that has not been applied by then is made again: it may have been lost with a
-/// message.
-const PROPOSE_AGAIN: Nanos = SECOND;
-
 /// One promise whose span is counted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct Count {
--- a/crates/shares/src/holder.rs
+++ b/crates/shares/src/holder.rs
@@ -13,7 +13,6 @@
 /// A promise that may be used, until when on the own clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct Adopted {
-    number: u64,
     promise: Promise,
     until: Nanos,
 }
@@ -62,10 +61,7 @@
     /// Begins a life. It holds nothing yet but its floor, and that from a hold after its `born`
     /// only: servers may still work on what its former life sent under the same floor.
     pub fn new(owner: Owner, budget: Budget, weight: u32, born: Nanos) -> Self {
-        let floor_from = match budget.hold {
-            0 => born,
-            hold => born.saturating_add(budget.error.grantors(hold)),
-        };
+        let floor_from = born.saturating_add(budget.error.grantors(budget.hold));
         ShareHolder {
             floor_from,
             owner,
@@ -104,7 +100,7 @@
     pub fn limit(&self, now: Nanos) -> Limit {
         let own = self.floor(now);
         match self.adopted.filter(|adopted| now < adopted.until && !self.leaves) {
-            Some(Adopted { promise, until, .. }) => {
+            Some(Adopted { promise, until }) => {
                 let floor = self.floor(until);
                 Limit { units: own.saturating_add(promise.units), until, floor }
             }
@@ -171,7 +167,7 @@
             return;
         }
         self.asked.retain(|(other, _)| *other > number);
-        self.adopted = Some(Adopted { number, promise: answer.promise, until });
+        self.adopted = Some(Adopted { promise: answer.promise, until });
     }
 
     /// When [`ShareHolder::tick`] has something to ask.
--- a/crates/shares/src/ledger.rs
+++ b/crates/shares/src/ledger.rs
@@ -169,9 +169,8 @@
             }
         }
         self.accounts.retain(|_, account| !(account.leaves && account.promises.is_empty()));
-        let targets = self.targets();
         let mut free = self.budget.divisible().saturating_sub(self.used());
-        let wanted = self.wanted(&asking, &targets, free);
+        let wanted = self.wanted(&asking, free);
         let mut answers = Vec::with_capacity(asking.len());
         for ((owner, number), units) in asking.into_iter().zip(wanted) {
             let Some(account) = self.accounts.get_mut(&owner) else { continue };
@@ -198,13 +197,12 @@
 
     /// Notes a question; whether it is to be answered.
     fn take(&mut self, ask: &Ask) -> bool {
-        let room = self.accounts.len() < self.room();
-        let Some(account) = (match self.accounts.contains_key(&ask.owner) || room {
-            true => Some(self.accounts.entry(ask.owner.clone()).or_default()),
-            false => None,
-        }) else {
+        // Former lives keep their accounts until their spans are over, beside the new ones.
+        let full = self.accounts.len() as u64 >= self.budget.members.saturating_mul(2);
+        if full && !self.accounts.contains_key(&ask.owner) {
             return false;
-        };
+        }
+        let account = self.accounts.entry(ask.owner.clone()).or_default();
         if ask.number <= account.number {
             // An old copy: what it says of need and use is no longer so.
             return false;
@@ -222,31 +220,23 @@
         !ask.leaves
     }
 
-    /// Former lives keep their accounts until their spans are over, beside the new ones.
-    fn room(&self) -> usize {
-        usize::try_from(self.budget.members.saturating_mul(2)).unwrap_or(usize::MAX)
-    }
-
     /// What each should have, by the needs of all.
-    fn targets(&self) -> BTreeMap<Owner, u64> {
+    fn targets(&self) -> BTreeMap<&Owner, u64> {
         // A former life's need is nobody's: only the latest counts.
-        let life = |owner: &'_ Owner| (owner.member.clone(), owner.incarnation);
-        let latest: BTreeMap<String, u64> = self.accounts.keys().map(life).collect();
-        let is_latest = |owner: &Owner| latest.get(&owner.member) == Some(&owner.incarnation);
-        let living: Vec<_> = self.accounts.iter().filter(|(owner, _)| is_latest(owner)).collect();
-        let claim = |(_, a): &(&Owner, &Account)| Claim { need: a.need, weight: a.weight };
-        let claims: Vec<Claim> = living.iter().map(claim).collect();
+        let owners = self.accounts.keys();
+        let latest: BTreeMap<&str, &Owner> = owners.map(|o| (o.member.as_str(), o)).collect();
+        let claim = |owner: &&Owner| {
+            let account = &self.accounts[*owner];
+            Claim { need: account.need, weight: account.weight }
+        };
+        let claims: Vec<Claim> = latest.values().map(claim).collect();
         let parts = divide(self.budget.divided(), &claims);
-        living.into_iter().map(|(owner, _)| owner.clone()).zip(parts).collect()
+        latest.into_values().zip(parts).collect()
     }
 
     /// What the askers are to be promised, as far as it is free.
-    fn wanted(
-        &self,
-        asking: &[(Owner, u64)],
-        targets: &BTreeMap<Owner, u64>,
-        free: u64,
-    ) -> Vec<u64> {
+    fn wanted(&self, asking: &[(Owner, u64)], free: u64) -> Vec<u64> {
+        let targets = self.targets();
         let aims: Vec<(u64, u64)> = asking
             .iter()
             .map(|(owner, _)| {
--- a/crates/shares/tests/common/world.rs
+++ b/crates/shares/tests/common/world.rs
@@ -2,14 +2,13 @@
 //! network that loses, delays and copies; clocks run apart by all that is stated. Agreement itself
 //! is taken for granted here (`crates/fleet` proves it): what is applied, is applied once and in
 //! one order.
-#![allow(dead_code)]
-
+use super::{free_earlier, free_former_lives};
 use mintshelf_fleet::lease::Owner;
 use mintshelf_fleet::span::{ClockError, Nanos, MS, SECOND};
 use mintshelf_shares::budget::Budget;
 use mintshelf_shares::clerk::Clerk;
 use mintshelf_shares::holder::ShareHolder;
-use mintshelf_shares::ledger::{Answer, Ask, Beat, Ended, Ledger};
+use mintshelf_shares::ledger::{Answer, Ask, Beat, Ledger};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -344,27 +343,11 @@
 
     fn apply(&mut self, beat: &Beat, stormy: bool) {
         if self.plan.mutant == Mutant::NewLifeTakesOver {
-            let mut freed = Beat::default();
-            for ask in &beat.asks {
-                for (owner, account) in self.ledger.accounts() {
-                    let former = owner.member == ask.owner.member
-                        && owner.incarnation < ask.owner.incarnation;
-                    if let (true, Some(last)) = (former, account.last()) {
-                        let (owner, grant) = (owner.clone(), last.grant);
-                        freed.ended.push(Ended { owner, grant });
-                    }
-                }
-            }
-            self.ledger.apply(&freed);
+            free_former_lives(&mut self.ledger, beat);
         }
         let answers = self.ledger.apply(beat);
         if self.plan.mutant == Mutant::ShrinkWhenAsked {
-            let earlier = |answer: &Answer| Ended {
-                owner: answer.owner.clone(),
-                grant: answer.promise.grant - 1,
-            };
-            let ended = answers.iter().map(earlier).collect();
-            self.ledger.apply(&Beat { asks: Vec::new(), ended });
+            free_earlier(&mut self.ledger, &answers);
         }
         self.clerk.applied(self.clock.at(self.now), &self.ledger);
         for answer in answers {
--- a/crates/shares/tests/exhaustive.rs
+++ b/crates/shares/tests/exhaustive.rs
@@ -2,12 +2,15 @@
 //! by the model checker, on the program's own state machines: two members, one of which is also
 //! killed and starts again, and a whole of three units.
 
+mod common;
+
+use common::{free_earlier, free_former_lives};
 use mintshelf_fleet::lease::Owner;
 use mintshelf_fleet::span::{ClockError, Nanos, MS};
 use mintshelf_shares::budget::Budget;
 use mintshelf_shares::clerk::Clerk;
 use mintshelf_shares::holder::ShareHolder;
-use mintshelf_shares::ledger::{Answer, Ask, Beat, Ended, Ledger};
+use mintshelf_shares::ledger::{Answer, Ask, Beat, Ledger};
 use stateright::{Checker, HasDiscoveries, Model, Property};
 
 /// A step of true time.
@@ -129,25 +132,12 @@
     }
 
     fn apply(&self, world: &mut World, beat: Beat) {
-        let mut ended = Vec::new();
         if self.mutant == Mutant::NewLifeTakesOver {
-            for ask in &beat.asks {
-                for (owner, account) in world.ledger.accounts() {
-                    let former = owner.member == ask.owner.member && *owner < ask.owner;
-                    if let (true, Some(last)) = (former, account.last()) {
-                        ended.push(Ended { owner: owner.clone(), grant: last.grant });
-                    }
-                }
-            }
-            world.ledger.apply(&Beat { asks: Vec::new(), ended: std::mem::take(&mut ended) });
+            free_former_lives(&mut world.ledger, &beat);
         }
         let answers = world.ledger.apply(&beat);
         if self.mutant == Mutant::ShrinkWhenAsked {
-            for answer in &answers {
-                let grant = answer.promise.grant - 1;
-                ended.push(Ended { owner: answer.owner.clone(), grant });
-            }
-            world.ledger.apply(&Beat { asks: Vec::new(), ended });
+            free_earlier(&mut world.ledger, &answers);
         }
         world.clerk.applied(leaders(world.at, world.changes), &world.ledger);
         for answer in answers {
--- a/crates/shares/tests/seeds.rs
+++ b/crates/shares/tests/seeds.rs
@@ -3,13 +3,10 @@
 
 mod common;
 
+use common::seeds;
 use common::world::{Mutant, Plan, World};
 use mintshelf_fleet::span::ClockError;
 
-fn seeds(few: u64) -> u64 {
-    std::env::var("MINTSHELF_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(few)
-}
-
 #[derive(Debug, Default)]
 struct Sum {
     breaches: Vec<(u64, u64, u64)>,
--- a/crates/shares/tests/voters.rs
+++ b/crates/shares/tests/voters.rs
@@ -2,6 +2,9 @@
 //! sessions with them and use all that their shares allow; voters and members killed and cut off,
 //! leaders that change, messages late and lost. The check knows units in use and the whole only.
 
+mod common;
+
+use common::seeds;
 use mintshelf_fleet::lease::Owner;
 use mintshelf_fleet::span::{ClockError, Nanos, Spans, MS, SECOND};
 use mintshelf_fleet::voter::{encode, Stored, Voter};
@@ -287,10 +290,6 @@
     }
 }
 
-fn seeds(few: u64) -> u64 {
-    std::env::var("MINTSHELF_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(few)
-}
-
 #[test]
 fn with_voters_that_agree_by_raft_the_whole_is_kept_and_used() {
     let (mut leaders, mut kills, mut most, mut worst) = (0, 0, 0, 1.0f64);
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -382,6 +382,13 @@
     })
 }
 
+/// Gives all classes of a configuration this deadline.
+pub fn set_deadlines(config: &mut Value, deadline: Duration) {
+    for class in config["settings"]["classes"].as_array_mut().unwrap() {
+        class["deadline"] = json!(deadline.as_nanos() as u64);
+    }
+}
+
 impl Process for Sidecar {
     fn pid(&self) -> u32 {
         self.child.id()
@@ -473,9 +480,14 @@
 
 /// A request of a class, with an id of its own.
 pub fn request(class: &str, id: &str) -> Vec<u8> {
+    patient(class, id, 8_000)
+}
+
+/// The same of a client that waits for so many milliseconds.
+pub fn patient(class: &str, id: &str, ms: u64) -> Vec<u8> {
     format!(
         "GET /api HTTP/1.1\r\nHost: a\r\nX-Txn: {id}\r\nX-Lane: {class}\r\nX-Org: acme\r\n\
-         X-Remaining-Ms: 8000\r\n\r\n"
+         X-Remaining-Ms: {ms}\r\n\r\n"
     )
     .into_bytes()
 }
