Nothing begins for a client that has gone, nor for a key after its window

To blame: `Driver::send_by` knew a window only where routes state tries, so on the platform `Upstream::exchange` had none; and nothing ended an attempt that was not written whole by then. Now the window binds on the platform too, at the first byte and until the last one is written.

Clients that leave: the HTTP library sees an end only while it holds no bytes behind the request, and `Waiting::drop` sent attempts on that had no connection yet. Now the socket itself is asked (`Client::has_left`) when a request is taken, before each attempt and after its connection has come up.

Closes: an idle connection was closed at once (`Close::Now`), so that what crossed the close met a reset. Now the write side is shut and the rest read, for a second or until room is needed.

--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -56,6 +56,17 @@
     pub backoff: [Nanos; 2],
 }
 
+impl Class {
+    /// For how long after its first attempt a keyed request may be sent again; 0 where no
+    /// window binds.
+    pub fn window(&self) -> Nanos {
+        match self.effect {
+            Effect::Keyed => self.dedup_window,
+            Effect::Safe | Effect::Unsafe => 0,
+        }
+    }
+}
+
 /// Longest wait before a further attempt when so many have been made: up to the first span,
 /// doubled each time, never over the second.
 pub fn backoff_bound(backoff: [Nanos; 2], made: usize) -> Nanos {
--- /dev/null
+++ b/crates/mintshelf/tests/crossings/attempts.rs
@@ -0,0 +1,119 @@
+//! Attempts: a keyed window that ends while a connection comes up, connections that die at rest.
+
+use crate::stage::*;
+use mintshelf_testkit::*;
+use serde_json::json;
+use std::io::Write;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How long servers remember a key here: less than a connection takes that comes up late.
+const WINDOW: Duration = Duration::from_millis(700);
+
+#[test]
+fn a_keyed_request_is_not_sent_again_when_its_connection_comes_up_after_the_window() {
+    // The first server takes the request and breaks off at the gate.
+    let gate = Gate::default();
+    let wait = gate.clone();
+    let first = Server::start(move |_, _| {
+        wait.pass();
+        Some(b"nonsense\r\n\r\n".to_vec())
+    });
+    let late = Unreached::start();
+    let discovery = Discovery::start(1, vec![first.entry("a")]);
+    let mut config = slow_connects(discovery.at, vec![first.entry("a")]);
+    for class in config["settings"]["classes"].as_array_mut().unwrap() {
+        class["memory-span"] = json!(WINDOW.as_nanos() as u64);
+    }
+    let sidecar = Sidecar::start(PROGRAM, config);
+    wait_until("the first watch", || *discovery.calls.lock().unwrap() > 0);
+    let mut client = connect(sidecar.at).unwrap();
+    client.write_all(&request("keyed", "k")).unwrap();
+    wait_until("the first attempt is there", || ids(&first) == ["k"]);
+    let ran = Instant::now();
+    let calls = *discovery.calls.lock().unwrap();
+    let mut gone = first.entry("a");
+    gone["state"] = json!("DRAINING");
+    discovery.set(vec![gone, late.entry("b")]);
+    wait_until("the other server is told", || *discovery.calls.lock().unwrap() > calls);
+    gate.open();
+    // Its connection is on the way now, and comes up a second after it was begun.
+    thread::sleep(Duration::from_millis(200));
+    let seen = late.accept(|_| answer("served"));
+    let got = Message::read(&mut client).unwrap();
+    let took = ran.elapsed();
+    thread::sleep(Duration::from_millis(1_500).saturating_sub(took));
+    assert_eq!(seen.ids(), Vec::<String>::new(), "sent again after its window; {}", got.head);
+    // It may have run, and its client could come again only after the window: no refusal.
+    assert_eq!(got.status(), 502, "{}", got.head);
+    assert!(took < WINDOW + Duration::from_secs(2), "{took:?}");
+}
+
+#[test]
+fn within_its_window_a_keyed_request_goes_on_to_a_server_that_comes_up_late() {
+    let first = Server::start(move |_, _| Some(b"nonsense\r\n\r\n".to_vec()));
+    let late = Unreached::start();
+    let discovery = Discovery::start(1, vec![first.entry("a"), late.entry("b")]);
+    let known = vec![first.entry("a"), late.entry("b")];
+    let sidecar = Sidecar::start(PROGRAM, slow_connects(discovery.at, known));
+    let asked = thread::spawn({
+        let at = sidecar.at;
+        move || ask(at, &request("keyed", "k")).unwrap()
+    });
+    thread::sleep(Duration::from_millis(200));
+    let seen = late.accept(|_| answer("served"));
+    // At either server first: the other's answer, or that it may not be resent, comes whole.
+    assert_eq!(asked.join().unwrap().status(), 200);
+    assert_eq!(seen.ids(), ["k"]);
+}
+
+/// What a server does with a connection at rest.
+fn at_rest(act: impl Fn(std::net::TcpStream) + Send + Sync + 'static) {
+    let held = std::sync::Arc::new(std::sync::Mutex::new(Vec::new()));
+    let noted = held.clone();
+    let seen = std::sync::Arc::new(std::sync::Mutex::new(Vec::new()));
+    let ids = seen.clone();
+    let peer = Peer::start(move |mut stream| {
+        while let Some(request) = Message::read(&mut stream) {
+            ids.lock().unwrap().push(request.header("x-txn").unwrap().to_string());
+            stream.write_all(&answer("served")).unwrap();
+            noted.lock().unwrap().push(stream.try_clone().unwrap());
+        }
+    });
+    let entry = json!({"uid": "a", "endpoint": peer.at.to_string(), "state": "SERVING"});
+    let discovery = Discovery::start(1, vec![entry.clone()]);
+    let sidecar = Sidecar::start(PROGRAM, config(discovery.at, vec![entry]));
+    assert_eq!(sidecar.ask(&request("unsafe", "first")).unwrap().status(), 200);
+    // The next request and what its server does come to the sidecar at one moment.
+    let mut client = connect(sidecar.at).unwrap();
+    while_stopped(&sidecar, || {
+        client.write_all(&request("unsafe", "second")).unwrap();
+        held.lock().unwrap().drain(..).for_each(&act);
+    });
+    let got = Message::read(&mut client).unwrap();
+    assert_eq!((got.status(), &got.body[..]), (200, &b"served"[..]), "{}", got.head);
+    assert_eq!(*seen.lock().unwrap(), ["first", "second"]);
+}
+
+#[test]
+fn a_connection_that_ends_at_rest_carries_no_request() {
+    at_rest(|stream| drop(stream.shutdown(std::net::Shutdown::Both)));
+}
+
+#[test]
+fn nor_one_that_is_reset_at_rest() {
+    at_rest(|stream| {
+        socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+        drop(stream.shutdown(std::net::Shutdown::Write));
+    });
+}
+
+#[test]
+fn nor_one_on_which_half_a_line_stands() {
+    at_rest(|mut stream| stream.write_all(b"HTTP/1.1 2").unwrap());
+}
+
+#[test]
+fn nor_one_on_which_a_second_answer_stands() {
+    at_rest(|mut stream| stream.write_all(&answer("surplus")).unwrap());
+}
--- /dev/null
+++ b/crates/mintshelf/tests/crossings/stage.rs
@@ -0,0 +1,122 @@
+//! Barriers between the sidecar and its stand-ins.
+
+use mintshelf_testkit::*;
+use serde_json::{json, Value};
+use socket2::{Domain, Socket, Type};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::Duration;
+
+pub const PROGRAM: &str = env!("CARGO_BIN_EXE_mintshelf");
+
+/// A gate that stand-ins wait at until the test opens it.
+#[derive(Clone, Default)]
+pub struct Gate(Arc<(Mutex<bool>, Condvar)>);
+
+impl Gate {
+    pub fn open(&self) {
+        *self.0 .0.lock().unwrap() = true;
+        self.0 .1.notify_all();
+    }
+
+    pub fn pass(&self) {
+        let shut = self.0 .0.lock().unwrap();
+        drop(self.0 .1.wait_timeout_while(shut, LONG, |open| !*open).unwrap());
+    }
+}
+
+/// A server to which no connection comes up: the kernel holds as many as it takes, unaccepted,
+/// and drops the first packet of any more, which is sent again a second later.
+pub struct Unreached {
+    pub at: SocketAddr,
+    listener: TcpListener,
+    _filling: Vec<TcpStream>,
+}
+
+impl Unreached {
+    pub fn start() -> Self {
+        let at = free_address();
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.set_reuse_address(true).unwrap();
+        socket.bind(&at.into()).unwrap();
+        socket.listen(0).unwrap();
+        let filling = TcpStream::connect(at).unwrap();
+        Unreached { at, listener: socket.into(), _filling: vec![filling] }
+    }
+
+    /// Serves from now on: what connects comes up late. Back come the requests, as they come.
+    pub fn accept(self, serve: impl Fn(Message) -> Vec<u8> + Send + Sync + 'static) -> Seen {
+        let seen = Seen::default();
+        let (noted, serve) = (seen.clone(), Arc::new(serve));
+        thread::spawn(move || {
+            for stream in self.listener.incoming().flatten() {
+                let (noted, serve) = (noted.clone(), serve.clone());
+                thread::spawn(move || noted.serve(stream, &*serve));
+            }
+        });
+        seen
+    }
+
+    pub fn entry(&self, uid: &str) -> Value {
+        json!({"uid": uid, "endpoint": self.at.to_string(), "state": "SERVING"})
+    }
+}
+
+/// The requests that have come to a stand-in.
+#[derive(Clone, Default)]
+pub struct Seen(Arc<Mutex<Vec<Message>>>);
+
+impl Seen {
+    fn serve(&self, mut stream: TcpStream, serve: &dyn Fn(Message) -> Vec<u8>) {
+        use std::io::Write;
+        while let Some(request) = Message::read(&mut stream) {
+            self.0.lock().unwrap().push(request.clone());
+            if stream.write_all(&serve(request)).is_err() {
+                return;
+            }
+        }
+    }
+
+    pub fn ids(&self) -> Vec<String> {
+        let id = |request: &Message| request.header("x-txn").unwrap_or_default().to_string();
+        self.0.lock().unwrap().iter().map(id).collect()
+    }
+}
+
+/// Ids of what a server has seen.
+pub fn ids(server: &Server) -> Vec<String> {
+    let id = |request: &Message| request.header("x-txn").unwrap_or_default().to_string();
+    server.seen().iter().map(id).collect()
+}
+
+/// A configuration in which a connection may take long to come up.
+pub fn slow_connects(discovery: SocketAddr, known: Vec<Value>) -> Value {
+    let mut config = config(discovery, known);
+    config["settings"]["limits"]["connect-timeout"] = json!(5_000_000_000u64);
+    config
+}
+
+/// Stops a process until the closure has run: what happens meanwhile meets it at one moment.
+pub fn while_stopped<T>(sidecar: &Sidecar, act: impl FnOnce() -> T) -> T {
+    sidecar.signal("STOP");
+    let stat = format!("/proc/{}/stat", sidecar.pid());
+    wait_until("the process is stopped", || {
+        let stat = std::fs::read_to_string(&stat).unwrap();
+        stat.rsplit(") ").next().unwrap().starts_with('T')
+    });
+    let result = act();
+    // What was written is with the other side's kernel: loopback delivers at once.
+    sidecar.signal("CONT");
+    result
+}
+
+/// Waits until a sidecar that has something to do has surely done it: a request of another
+/// client passes through it, twice the time in which a break would show.
+pub fn settle(sidecar: &Sidecar, name: &str) {
+    for number in 0..2 {
+        thread::sleep(Duration::from_millis(150));
+        let got = sidecar.ask(&get("/-/ready")).unwrap();
+        assert_eq!(got.status(), 200, "{name} {number}");
+    }
+}
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -1,7 +1,7 @@
 //! Clients' connections as the rest of the program sees them: phases, limits, eviction.
 
 use crate::scan::Scan;
-use crate::socket::{pending, Pending, Stream, Watcher};
+use crate::socket::{has_ended, is_reset, pending, Pending, Stream, Watcher};
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -110,6 +110,15 @@
         pending(&self.stream) == Pending::Bytes
     }
 
+    /// Whether nobody waits for an answer any more. Asked of the socket itself: the HTTP library
+    /// does not look for the end of a connection behind bytes that it has not handed on.
+    pub fn has_left(&self) -> bool {
+        match self.patience.half_close {
+            true => is_reset(&self.stream),
+            false => has_ended(&self.stream),
+        }
+    }
+
     /// When the connection has been in its phase for too long.
     pub fn dead_at(&self) -> Instant {
         self.since.get()
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -365,6 +365,10 @@
         arrival: Arrival,
         message: Message,
     ) -> Option<Reply> {
+        if message.client.as_ref().is_some_and(|client| client.has_left()) {
+            // Nobody hears of it: it costs no server, no credit and no place.
+            return Some(Reply::Failed { timed_out: false });
+        }
         let seat = Rc::new(Seat::default());
         let id: RequestId = {
             let mut core = self.core.borrow_mut();
@@ -409,7 +413,7 @@
         let now = self.clock.now();
         let Some(taken) = core.taken.get_mut(&id) else { return };
         let number = taken.attempts.len() as u32;
-        let cancel = Rc::new(Cancel::default());
+        let cancel = Rc::new(Cancel::new(taken.message.client.clone()));
         // Two copies at one server would wait in the same queue.
         let beside = taken.attempts.iter().any(|a| a.out() && a.server == server);
         let send_by = self.send_by(taken);
@@ -421,6 +425,11 @@
             at => at.min(taken.deadline),
         };
         let exceeded = taken.attempts.len() > self.max_attempts || beside;
+        let left = cancel.is_left();
+        if left {
+            core.abandon(&id);
+        }
+        let Some(taken) = core.taken.get_mut(&id) else { return };
         let client = taken.reply.clone().filter(|_| !exceeded && until > now);
         let Some(client) = client else {
             let end = core.end_attempt(&id, number, Outcome::Unused, None, now);
@@ -464,10 +473,13 @@
         client.start(Box::pin(attempt.run(to, message, until, cancel)));
     }
 
-    /// When a further attempt of a keyed request may reach a server at the latest. The module
-    /// decides when it starts; its connection takes time.
+    /// When a further attempt of a keyed request has to be with a server at the latest. The
+    /// module decides when it starts; its connection and its writing take time.
     fn send_by(&self, taken: &Taken) -> Option<Nanos> {
-        let window = self.tries.get(taken.class)?.borrow().plan().window;
+        let window = match self.tries.get(taken.class) {
+            Some(tries) => tries.borrow().plan().window,
+            None => self.classes.get(taken.class).map_or(0, Class::window),
+        };
         let ran_at = taken.ran_at()?;
         (window > 0).then(|| ran_at.saturating_add(window))
     }
@@ -691,6 +703,7 @@
         let mut core = self.driver.core.borrow_mut();
         let left = core.taken.get_mut(&self.id).and_then(|taken| taken.reply.take());
         if left.is_some() {
+            core.leave(&self.id);
             core.forget(&self.id);
             core.events.push_back(Event::Abandoned { id: self.id.clone() });
             self.driver.turn(&mut core);
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -1,26 +1,24 @@
 //! Accepts clients' connections, and serves each through a front.
 
 use crate::clients::{Client, Clients, Patience, Phase, Upgrade};
+use crate::front::Outgoing;
+pub use crate::front::{Front, FrontBody};
 use crate::limits::Limits;
 use crate::socket::{close_gently, is_reset, pending, Pending, Socket, Stream};
-use crate::stream::ServerStream;
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::StatusCode;
 use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
 use std::convert::Infallible;
-use std::future::{poll_fn, Future};
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -43,30 +41,13 @@
 /// and what a client sends just then it can send again elsewhere.
 const WIND_DOWN: Duration = Duration::from_millis(450);
 
-/// What answers the requests of a connection.
-pub trait Front: 'static {
-    /// Most headers in a request, where that is not the library's 100: the library is faster
-    /// with its own.
-    const HEADERS_MAX: Option<usize> = None;
-
-    /// Answers one request; `draining` if the planned end was announced before it came. Once
-    /// it is, every answer closes its connection, whatever the front says. Where it
-    /// sends on what it reads it enters [`Phase::Busy`] on the client first.
-    fn respond(
-        self: Rc<Self>,
-        client: Rc<Client>,
-        request: Request<Incoming>,
-        draining: bool,
-    ) -> impl Future<Output = Response<FrontBody>>;
-}
-
 /// How a connection ends.
 enum Close {
     /// Not yet: these bytes were read past the last answer.
     Again(Bytes),
     /// After its client has read all.
     Gently,
-    /// At once.
+    /// At once: its client can't be told anything, or would not listen.
     Now,
     /// It speaks another protocol now; these bytes were read past the 101.
     Upgraded(Bytes),
@@ -155,8 +136,9 @@
                 Close::Gently => {
                     client.enter(Phase::Closing);
                     tokio::select! {
+                        biased;
                         () = close_gently(&stream) => {}
-                        () = client.evicted.cancelled() => {}
+                        () = self.in_the_way(&client) => {}
                     }
                     break;
                 }
@@ -192,7 +174,7 @@
                     response.headers_mut().insert(header::CONNECTION, close);
                 }
                 client.enter(Phase::Busy);
-                Ok::<_, Infallible>(response.map(|body| Outgoing { body, client }))
+                Ok::<_, Infallible>(response.map(|body| Outgoing::new(body, client)))
             })
         });
         let mut builder = http1::Builder::new();
@@ -205,7 +187,7 @@
         let ended = tokio::select! {
             biased;
             ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => ended,
-            () = self.unwanted(client) => return Close::Now,
+            close = self.unwanted(client) => return close,
             () = self.reset(stream, client) => return Close::Now,
         };
         match ended {
@@ -245,17 +227,32 @@
         .await
     }
 
-    /// Waits until a connection is dead, evicted, or idle at the planned end.
-    async fn unwanted(&self, client: &Client) {
+    /// Waits until a connection that is being closed has to make room: its client has had a
+    /// moment to read what there is, and to end its side.
+    async fn in_the_way(&self, client: &Client) {
+        client.evicted.cancelled().await;
+        sleep(ACCEPT_PAUSE).await;
+    }
+
+    /// Waits until a connection is dead, evicted, or idle at the planned end; how it is to be
+    /// closed. Danger: what a client sends in that very moment would be met by a reset, and take
+    /// an answer with it that the client has not read yet.
+    async fn unwanted(&self, client: &Client) -> Close {
         let dead = async {
-            while client.dead_at() > Instant::now() {
-                sleep_until(client.dead_at()).await;
+            loop {
+                if client.dead_at() > Instant::now() {
+                    sleep_until(client.dead_at()).await;
+                } else if client.phase() == Phase::Idle && client.has_pending() {
+                    sleep(ACCEPT_PAUSE).await;
+                } else {
+                    return;
+                }
             }
         };
         let evicted = async {
             client.evicted.cancelled().await;
             // A request that came meanwhile is answered first.
-            while client.phase() > Phase::Idle {
+            while client.phase() > Phase::Idle || client.has_pending() {
                 sleep(ACCEPT_PAUSE).await;
             }
         };
@@ -272,63 +269,10 @@
             () = evicted => {}
             () = over => {}
         }
-    }
-}
-
-// ----------------------------------------------------------------- answers
-
-/// The body of an answer: at hand, or as a server sends it.
-pub enum FrontBody {
-    /// At hand.
-    Whole(Full<Bytes>),
-    /// As it comes.
-    Stream(Box<ServerStream>),
-}
-
-impl FrontBody {
-    /// A body at hand.
-    pub fn whole(bytes: Bytes) -> Self {
-        FrontBody::Whole(Full::new(bytes))
-    }
-}
-
-/// An answer's body on its way to a client.
-struct Outgoing {
-    body: FrontBody,
-    client: Rc<Client>,
-}
-
-impl Drop for Outgoing {
-    fn drop(&mut self) {
-        self.client.handed_over.set(true);
-    }
-}
-
-impl Body for Outgoing {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        match &mut self.body {
-            FrontBody::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
-            FrontBody::Stream(body) => Pin::new(body.as_mut()).poll_frame(cx),
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        match &self.body {
-            FrontBody::Whole(body) => body.is_end_stream(),
-            FrontBody::Stream(body) => body.is_end_stream(),
-        }
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        match &self.body {
-            FrontBody::Whole(body) => body.size_hint(),
-            FrontBody::Stream(body) => body.size_hint(),
+        match client.phase() {
+            // Its request is not answered, or its answer not read, and never will be.
+            Phase::Busy => Close::Now,
+            _ => Close::Gently,
         }
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod driver;
 pub mod edits;
 pub mod endpoints;
+pub mod front;
 pub mod gates;
 pub mod inbound;
 pub mod limits;
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -31,6 +31,8 @@
     /// How much of the head's closing blank line has passed.
     matched: Cell<usize>,
     body_taken: Cell<u64>,
+    /// Something of it has been written.
+    begun: Cell<bool>,
     /// When part of an answer last came, while the rest is awaited.
     answering: Cell<Option<Instant>>,
 }
@@ -40,6 +42,7 @@
         self.body.set(body);
         self.matched.set(0);
         self.body_taken.set(0);
+        self.begun.set(false);
         self.answering.set(None);
     }
 
@@ -59,6 +62,7 @@
     }
 
     fn wrote(&self, bytes: &[u8]) {
+        self.begun.set(true);
         let mut matched = self.matched.get();
         let mut rest = bytes.iter();
         while matched < HEAD_END.len() {
@@ -198,7 +202,7 @@
     pub(crate) fn settle(&mut self, cx: &mut Context<'_>) -> bool {
         drive(&mut self.driven, cx);
         self.driven.is_some()
-            && self.meter.whole()
+            && (self.meter.whole() || !self.meter.begun.get())
             && matches!(self.send.poll_ready(cx), Poll::Ready(Ok(())))
     }
 
--- a/crates/proxy/src/open.rs
+++ b/crates/proxy/src/open.rs
@@ -1,6 +1,7 @@
 //! Requests that are open, with their attempts: what each has come to.
 
 use crate::body::Outbound;
+use crate::clients::Client;
 use crate::seat::{Cancel, Seat};
 use crate::upstream::Answer;
 use hyper::header::HeaderValue;
@@ -58,6 +59,8 @@
     pub txn: Option<HeaderValue>,
     /// Given back with the last attempt.
     pub _room: Option<OwnedSemaphorePermit>,
+    /// Who waits for the answer, if that is a connection with this request open.
+    pub client: Option<Rc<Client>>,
 }
 
 /// A request from its last byte to its final answer and its last attempt.
@@ -164,6 +167,18 @@
         }
     }
 
+    /// Ends a request whose client has left before its next attempt: nobody hears the answer.
+    pub(crate) fn abandon(&mut self, id: &RequestId) {
+        drop(self.conclude(id, Reply::Failed { timed_out: false }));
+        self.events.push_back(Event::Abandoned { id: id.clone() });
+    }
+
+    /// Tells the attempts of a request that its client has left.
+    pub(crate) fn leave(&self, id: &RequestId) {
+        let attempts = self.taken.get(id).into_iter().flat_map(|taken| &taken.attempts);
+        attempts.filter(|attempt| attempt.out()).for_each(|attempt| attempt.cancel.leave());
+    }
+
     /// Drops a request's record once nothing more can come of it.
     pub(crate) fn forget(&mut self, id: &RequestId) {
         if self.taken.get(id).is_some_and(|t| t.reply.is_none() && t.out == 0) {
--- a/crates/proxy/src/plain.rs
+++ b/crates/proxy/src/plain.rs
@@ -296,7 +296,8 @@
         let (body, room) = self.body(client, body).await?;
         client.enter(Phase::Busy);
         let kept = opening.as_ref().map(|_| head.clone());
-        let message = Message { request: Request::from_parts(head, body), txn: None, _room: room };
+        let request = Request::from_parts(head, body);
+        let message = Message { request, txn: None, _room: room, client: Some(client.clone()) };
         let tenant = entered.as_ref().map(|entered| entered.tenant.clone());
         let asks = Asks { class, worth, repeat, patience, tenant };
         let (reply, through) = send(serving, name, pool, asks, message).await?;
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -117,7 +117,7 @@
     /// Reads a request whole and gets it its final answer.
     async fn take(
         self: &Rc<Self>,
-        client: &Client,
+        client: &Rc<Client>,
         request: Request<Incoming>,
     ) -> Result<Reply, Unfit> {
         let bad = |what| Unfit::new(StatusCode::BAD_REQUEST, what);
@@ -127,7 +127,7 @@
         }
         let mut arrival = self.arrival(&head.headers)?;
         let txn = head.headers.get(TXN).cloned().ok_or(bad("X-Txn is missing\n"))?;
-        let (body, room) = self.hold(&mut body).await?;
+        let (body, room) = self.hold(&mut body, arrival.patience).await?;
         client.enter(Phase::Busy);
         strip_hop_by_hop(&mut head.headers);
         head.version = hyper::Version::HTTP_11;
@@ -140,8 +140,9 @@
             }
         }
         let request = Request::from_parts(head, Outbound::Held(body));
-        let reply =
-            self.driver.serve(arrival, Message { request, txn: Some(txn), _room: room }).await;
+        let client = Some(client.clone());
+        let message = Message { request, txn: Some(txn), _room: room, client };
+        let reply = self.driver.serve(arrival, message).await;
         reply.ok_or(Unfit::new(StatusCode::CONFLICT, "X-Txn is that of an open request\n"))
     }
 
@@ -189,15 +190,17 @@
         })
     }
 
-    /// Reads a body, as far as there is room for it among those held.
+    /// Reads a body, as far as there is room for it among those held while its client waits.
     async fn hold(
         &self,
         body: &mut Incoming,
+        patience: Nanos,
     ) -> Result<(Held, Option<OwnedSemaphorePermit>), Unfit> {
         let too_long = Unfit::new(StatusCode::PAYLOAD_TOO_LARGE, "body is too long\n");
         if body.size_hint().lower() > BODY_MAX as u64 {
             return Err(too_long);
         }
+        let room_wait = ROOM_WAIT.min(Duration::from_nanos(patience));
         let (mut held, mut room) = (BytesMut::new(), None::<OwnedSemaphorePermit>);
         while let Some(frame) = poll_fn(|cx| Pin::new(&mut *body).poll_frame(cx)).await {
             let frame = frame.map_err(|_| Unfit::new(StatusCode::BAD_REQUEST, "body\n"))?;
@@ -206,7 +209,7 @@
                 return Err(too_long);
             }
             let more = self.room.clone().acquire_many_owned(data.len() as u32);
-            let Ok(Ok(more)) = timeout(ROOM_WAIT, more).await else {
+            let Ok(Ok(more)) = timeout(room_wait, more).await else {
                 // Nothing has been sent for it: the client may try again.
                 return Err(Unfit::new(StatusCode::SERVICE_UNAVAILABLE, "no room\n"));
             };
--- a/crates/proxy/src/seat.rs
+++ b/crates/proxy/src/seat.rs
@@ -1,6 +1,7 @@
 //! Where a client's task waits for its answer, and carries the attempts meanwhile: one
 //! task for both saves a hand-over between tasks, twice a request.
 
+use crate::clients::Client;
 use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
 use std::pin::Pin;
@@ -91,11 +92,37 @@
 #[derive(Default)]
 pub struct Cancel {
     cancelled: Cell<bool>,
+    /// Its client is known to have left.
+    left: Cell<bool>,
+    /// Who waits for its answer, if that is a connection with a request open.
+    client: Option<Rc<Client>>,
     waker: Cell<Option<Waker>>,
     connected: Cell<Option<Instant>>,
 }
 
 impl Cancel {
+    /// Of an attempt for a client.
+    pub fn new(client: Option<Rc<Client>>) -> Self {
+        Cancel { client, ..Cancel::default() }
+    }
+
+    /// Its client has left: what has not been sent yet is not to be.
+    pub fn leave(&self) {
+        self.left.set(true);
+        self.wake();
+    }
+
+    /// Whether its client has left.
+    pub fn is_left(&self) -> bool {
+        self.left.get() || self.client.as_ref().is_some_and(|client| client.has_left())
+    }
+
+    /// Waits until its client is known to have left; in the task that waits for
+    /// [`Cancel::cancelled`].
+    pub async fn left(&self) {
+        poll_fn(|cx| self.poll_for(&self.left, cx)).await
+    }
+
     /// It has a connection.
     pub fn connected(&self) {
         self.connected.set(Some(Instant::now()));
@@ -109,21 +136,26 @@
     /// Stops it.
     pub fn cancel(&self) {
         self.cancelled.set(true);
-        if let Some(waker) = self.waker.take() {
-            waker.wake();
-        }
+        self.wake();
     }
 
     /// Waits until it is to stop; for one waiting task.
     pub async fn cancelled(&self) {
-        poll_fn(|cx| match self.cancelled.get() {
-            true => Poll::Ready(()),
-            false => {
-                self.waker.set(Some(cx.waker().clone()));
-                Poll::Pending
-            }
-        })
-        .await
+        poll_fn(|cx| self.poll_for(&self.cancelled, cx)).await
+    }
+
+    fn poll_for(&self, flag: &Cell<bool>, cx: &mut Context<'_>) -> Poll<()> {
+        if flag.get() {
+            return Poll::Ready(());
+        }
+        self.waker.set(Some(cx.waker().clone()));
+        Poll::Pending
+    }
+
+    fn wake(&self) {
+        if let Some(waker) = self.waker.take() {
+            waker.wake();
+        }
     }
 }
 
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -4,15 +4,15 @@
 use bytes::{Buf, Bytes};
 use socket2::SockRef;
 use std::cell::RefCell;
-use std::future::poll_fn;
+use std::future::{poll_fn, Future};
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{timeout_at, Instant};
 
@@ -110,6 +110,21 @@
     }
 }
 
+/// Whether the other side has ended its sending or reset the connection, also where bytes that
+/// it sent before still wait to be read: a look at those alone would not show it.
+pub fn has_ended(stream: &Stream) -> bool {
+    match pending(stream) {
+        Pending::End => true,
+        Pending::Nothing => false,
+        Pending::Bytes => {
+            let stream = stream.borrow();
+            let ready = pin!(stream.ready(Interest::READABLE));
+            let ready = ready.poll(&mut Context::from_waker(Waker::noop()));
+            matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+        }
+    }
+}
+
 /// Whether the other side has reset the connection: it can't take an answer any more.
 pub fn is_reset(stream: &Stream) -> bool {
     let mut byte = [MaybeUninit::uninit()];
--- a/crates/proxy/src/sockets/front.rs
+++ b/crates/proxy/src/sockets/front.rs
@@ -160,7 +160,7 @@
             tenant: Some(self.sitter.tenant.clone()),
         };
         let request = Request::from_parts(head, Outbound::default());
-        let message = Message { request, txn: None, _room: None };
+        let message = Message { request, txn: None, _room: None, client: None };
         let (reply, _through) = send(&serving, cluster, pool, asks, message).await.ok()?;
         match reply? {
             Reply::Served(answer) => match *answer {
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -314,16 +314,29 @@
                 None => sleep_until(until).await,
             }
         };
+        let whole = || meter.borrow().as_ref().is_some_and(|meter: &Rc<Meter>| meter.whole());
+        // Danger: what is with a server only later may have been forgotten there.
+        let lapsed = async {
+            if let Some(by) = limits.send_by {
+                sleep_until(by).await;
+            }
+            if limits.send_by.is_none() || whole() {
+                std::future::pending::<()>().await;
+            }
+        };
         let stopped = tokio::select! {
             biased;
             ended = self.exchange(to, request, &meter, limits, cancel) => return ended,
             () = cancel.cancelled() => Outcome::Cancelled,
             () = overdue => Outcome::TimedOut,
+            () = lapsed => Outcome::Unused,
         };
         // The exchange is dropped and its connection closed. What was not written
         // whole by then cannot have run.
-        let whole = meter.borrow().as_ref().is_some_and(|meter: &Rc<Meter>| meter.whole());
-        Ended::from(if whole { stopped } else { Outcome::ConnectFailed })
+        Ended::from(match stopped {
+            stopped if whole() || stopped == Outcome::Unused => stopped,
+            _ => Outcome::ConnectFailed,
+        })
     }
 
     async fn exchange(
@@ -335,18 +348,26 @@
         cancel: &Cancel,
     ) -> Ended {
         let asked = request.extensions().get::<Arc<Asked>>().cloned();
-        let link = match &asked {
-            // A socket takes its connection for good, and no idle one that may be closing.
-            Some(_) => self.connect(to, until.connect, true).await,
-            None => self.link(to, until.connect, until.idle).await,
+        let link = async {
+            match &asked {
+                // A socket takes its connection for good, and no idle one that may be closing.
+                Some(_) => self.connect(to, until.connect, true).await,
+                None => self.link(to, until.connect, until.idle).await,
+            }
+        };
+        let link = tokio::select! {
+            biased;
+            () = cancel.left() => return Outcome::Unused.into(),
+            link = link => link,
         };
         let mut link = match link {
             Ok(link) => link,
             Err(outcome) => return outcome.into(),
         };
         cancel.connected();
-        if until.send_by.is_some_and(|by| by <= Instant::now()) {
-            // Danger: the connection took so long that servers may have forgotten its key.
+        // Danger: the connection took so long that servers may have forgotten its key, or that
+        // its client has gone.
+        if until.send_by.is_some_and(|by| by <= Instant::now()) || cancel.is_left() {
             self.rest(link);
             return Outcome::Unused.into();
         }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -201,7 +201,11 @@
 impl Discovery {
     /// Starts it with a list.
     pub fn start(rev: u64, entries: Vec<Value>) -> Self {
-        let at = free_address();
+        Self::start_at(free_address(), rev, entries)
+    }
+
+    /// The same at an address that was free so far.
+    pub fn start_at(at: SocketAddr, rev: u64, entries: Vec<Value>) -> Self {
         let list = Arc::new((Mutex::new((rev, entries)), Condvar::new()));
         let calls = Arc::new(Mutex::new(0));
         let (shared, counted) = (list.clone(), calls.clone());
