--- a/crates/balancer/src/decide/discovery.rs
+++ b/crates/balancer/src/decide/discovery.rs
@@ -2,12 +2,14 @@
 
 use super::*;
 
-/// First discovery call falls within this part of `ask_within`.
-pub(super) const WATCH_SPREAD: f64 = 0.7;
+/// What discovery has counts as told after this. First calls and failed ones wait for parts of it.
+const TOLD_WITHIN: Nanos = 6 * SECOND;
+/// First discovery call falls within this.
+pub(super) const WATCH_SPREAD: Nanos = TOLD_WITHIN / 5 * 2;
 /// The same where discovery has moved: its old address may fall silent.
 pub(super) const MOVE_SPREAD: Nanos = 600 * MS;
-/// First wait after a failed discovery call; doubles up to `ask_within`.
-const WATCH_RETRY: Nanos = SECOND;
+/// Wait after a failed discovery call, give or take a half.
+const WATCH_RETRY: Nanos = TOLD_WITHIN / 5;
 
 impl Balancer {
     /// Danger: instances that start or move together must not all call at once.
@@ -18,24 +20,15 @@
         }
     }
 
-    pub(super) fn on_servers(
-        &mut self,
-        now: Nanos,
-        kind: ListKind,
-        list: &[ListedServer],
-        out: Out,
-    ) {
+    pub(super) fn on_list(&mut self, now: Nanos, kind: ListKind, list: &[ListedServer], out: Out) {
         if kind == ListKind::Failed {
             (self.watching, self.call_out) = (false, false);
-            let longest = self.set.ask_within.max(WATCH_RETRY);
-            let span = (WATCH_RETRY << self.call_fails.min(6)).min(longest) as f64;
-            self.call_fails += 1;
-            let after = span * (0.5 + self.rng.draw());
+            let after = WATCH_RETRY as f64 * (0.5 + self.rng.draw());
             self.wakes.set(after as Nanos, Wake::Discovery, out);
             return;
         }
         if kind != ListKind::Cached && self.call_out {
-            (self.watching, self.call_out, self.call_fails) = (true, false, 0);
+            (self.watching, self.call_out) = (true, false);
         }
         if kind != ListKind::Changes {
             // What a complete list leaves out is gone.
--- a/crates/balancer/src/decide/mod.rs
+++ b/crates/balancer/src/decide/mod.rs
@@ -115,7 +115,6 @@
     reports: [u32; 2],
     watching: bool,
     call_out: bool,
-    call_fails: u32,
 }
 
 impl Balancer {
@@ -140,16 +139,16 @@
             ..Balancer::default()
         };
         this.tenant_weight.add(now, RATE_HALF_LIFE, 1.0 / RATE_SPAN);
-        this.call_discovery((this.set.ask_within as f64 * discovery::WATCH_SPREAD) as Nanos, out);
+        this.call_discovery(this.set.ask_within.min(discovery::WATCH_SPREAD), out);
         this
     }
 
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>) {
         match event {
-            Event::Servers { kind, entries, .. } => self.on_servers(now, kind, &entries, out),
+            Event::Servers { kind, entries, .. } => self.on_list(now, kind, &entries, out),
             Event::DiscoveryMoved => {
-                (self.watching, self.call_out, self.call_fails) = (false, false, 0);
+                (self.watching, self.call_out) = (false, false);
                 self.call_discovery(discovery::MOVE_SPREAD, out);
             }
             Event::Request { id, class, tenant, patience, repeat, cost_hint, .. } => {
--- a/crates/mintshelf/tests/crossings/main.rs
+++ b/crates/mintshelf/tests/crossings/main.rs
@@ -5,4 +5,5 @@
 mod attempts;
 mod clients;
 mod closes;
+mod discovery;
 mod stage;
