A cold server's budget goes by capacity, also when most others have just left

To blame: `cold_credit` took the rate of all servers, which ten seconds of memory keep, and gave the cold one its share of those that are left. Now answers count by the capacity there was at each, so that a rate is one server's own.

A keyed request that may have run is refused only with advice that ends before its window does (`end`, attempts.rs); before, a client told to come back after 2 s could have it run twice.

--- a/crates/balancer/src/decide/attempts.rs
+++ b/crates/balancer/src/decide/attempts.rs
@@ -135,7 +135,8 @@
         // In overload a repeat that comes at once meets the same queue.
         let loaded = self.set.retry_after && self.refuse_level > admission::ADMIT_DEADBAND;
         let retry_after = u64::from(loaded) * self.set.max_retry_after;
-        out.push(if self.legal(now, request).refuse {
+        // Danger: who is told to come back when the window is over would have it run twice.
+        out.push(if self.legal(now + retry_after, request).refuse {
             Action::Refuse { id: id.clone(), retry_after }
         } else {
             Action::Fail { id: id.clone() }
@@ -191,6 +192,8 @@
                     self.learn(now, s, (class, cost, took), true);
                     self.record_success(s);
                     self.served.add(now, RATE_HALF_LIFE, 1.0);
+                    let unit = f64::from(!self.servers[s].leaving()) / self.capacity(now);
+                    self.served_by_unit.add(now, RATE_HALF_LIFE, unit);
                 }
                 Outcome::TimedOut => {
                     self.learn(now, s, (class, cost, took), false);
--- a/crates/balancer/src/decide/cold.rs
+++ b/crates/balancer/src/decide/cold.rs
@@ -17,6 +17,12 @@
         }
     }
 
+    /// What all servers can do, in units of listed size.
+    pub(super) fn capacity(&self, now: Nanos) -> f64 {
+        let of = |o: &Server| o.listed.size * self.warmth(o, now);
+        self.servers.iter().filter(|o| !o.leaving()).map(of).sum::<f64>().max(0.1)
+    }
+
     /// The one gate for sends: known, not leaving, cold budget left.
     pub(super) fn may_send(&mut self, now: Nanos, s: usize) -> bool {
         !self.servers[s].leaving() && self.cold_credit(now, s) >= 1.0
@@ -29,10 +35,8 @@
         if warmth >= 1.0 {
             return f64::INFINITY;
         }
-        let capacity = |o: &Server| o.listed.size * self.warmth(o, now);
-        let total: f64 = self.servers.iter().filter(|o| !o.leaving()).map(capacity).sum();
-        let share = self.servers[s].listed.size / total.max(1e-9);
-        let rate = self.served_rate(now) * share * warmth * self.set.fall_multiple * COLD_SAFETY;
+        let warm = self.unit_rate(now) * self.servers[s].listed.size;
+        let rate = warm * warmth * self.set.fall_multiple * COLD_SAFETY;
         let depth = (rate * self.set.tip_after as f64 / SECOND as f64 * 0.5).max(1.0);
         let server = &mut self.servers[s];
         let passed = now.saturating_sub(server.credit_at) as f64 / SECOND as f64;
@@ -52,4 +56,10 @@
     pub(super) fn served_rate(&self, now: Nanos) -> f64 {
         self.served.get(now, RATE_HALF_LIFE) / RATE_SPAN + 0.05 * self.arrival_rate(now)
     }
+
+    /// The same by unit of capacity. Danger: all servers' rate is no measure once some have left.
+    pub(super) fn unit_rate(&self, now: Nanos) -> f64 {
+        let few = 0.05 * self.arrival_rate(now) / self.capacity(now);
+        self.served_by_unit.get(now, RATE_HALF_LIFE) / RATE_SPAN + few
+    }
 }
--- a/crates/balancer/src/decide/health.rs
+++ b/crates/balancer/src/decide/health.rs
@@ -92,9 +92,7 @@
         let value = |f| report.get(field(f)?).copied();
         let (held, waiting) = (value(ReportField::InFlight), value(ReportField::Queue));
         let Some(queue) = held.or(waiting).map(|q| q + waiting.unwrap_or(0.0)) else { return };
-        let size = self.servers[s].listed.size;
-        let all: f64 = self.servers.iter().filter(|o| !o.leaving()).map(|o| o.listed.size).sum();
-        let usual = self.served_rate(now) * f64::from(self.set.instances) * size / all.max(1e-9);
+        let usual = self.unit_rate(now) * self.servers[s].listed.size * self.set.instances as f64;
         let server = &mut self.servers[s];
         // Learn whether reports keep up: the same figures again are old ones. Danger:
         // asked again while they are fresh, the same ones say nothing.
--- a/crates/balancer/src/decide/mod.rs
+++ b/crates/balancer/src/decide/mod.rs
@@ -110,6 +110,8 @@
     tenant_seen: Vec<Fading>,
     tenant_weight: Fading,
     served: Fading,
+    /// The same by the capacity there was at each answer.
+    served_by_unit: Fading,
     waiting: Vec<RequestId>,
     /// Repeated reports that told nothing new, and those that did.
     reports: [u32; 2],
--- a/crates/balancer/tests/rules.rs
+++ b/crates/balancer/tests/rules.rs
@@ -47,6 +47,42 @@
     assert!(sends(&after).is_empty() && failed(&after), "{after:?}");
 }
 
+#[test]
+fn a_keyed_request_is_not_refused_with_advice_that_ends_past_the_memory() {
+    // Turned away often enough, the level rises, and clients are told to come back after 2 s.
+    let mut settings = settings();
+    settings.classes[1].dedup_window = 3 * S;
+    settings.max_attempts = 1;
+    let mut seen = [0, 0];
+    for ended_at in [S / 2, 2 * S] {
+        let mut rig = Rig::with(settings.clone(), 1..=4);
+        for number in 0..400u64 {
+            let (id, now) = (format!("f{number}"), S + number * 5 * MS);
+            for server in sends(&rig.feed(now, request(&id, 0, 2 * S))) {
+                rig.feed(now, ended(&id, 0, server, Outcome::TimedOut, true));
+            }
+        }
+        for number in 0..200u64 {
+            let (id, now) = (format!("k{number}"), 3 * S + number * MS);
+            let Some(server) = sends(&rig.feed(now, request(&id, 1, 9 * S))).pop() else {
+                continue;
+            };
+            let now = now + ended_at;
+            for action in rig.feed(now, ended(&id, 0, server, Outcome::Error, false)) {
+                match action {
+                    Action::Refuse { retry_after, .. } => {
+                        seen[0] += usize::from(retry_after > 0);
+                        assert!(ended_at + retry_after < 3 * S, "{ended_at}, {retry_after}");
+                    }
+                    Action::Fail { .. } => seen[1] += 1,
+                    _ => {}
+                }
+            }
+        }
+    }
+    assert!(seen[0] > 0 && seen[1] > 0, "{seen:?}");
+}
+
 #[test]
 fn no_parallel_attempts_where_forbidden() {
     let mut rig = Rig::with(Settings { parallel_attempts: false, ..settings() }, 1..=4);
