Names of classes and tenants in any script; twofold names and no attempts refused

To blame: `Platform::arrival` read X-Lane and X-Org as ASCII text, so that every request of such a class was answered 400. Names are compared by their bytes now.

Two classes of one name got the first one's effect, and `max-attempts` 0 let nothing be sent: both are named with file and place now. 23 extreme but legal values, for each effect, are served and end no process (they were before).

--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -150,6 +150,18 @@
         let settings = parse_settings(&text).map_err(|what| error("settings", what))?;
         let names: Names =
             parse(&text).map_err(|(field, what)| error(&format!("settings.{field}"), what))?;
+        for (field, names) in [("classes", &names.classes), ("tenants", &names.tenants)] {
+            // Danger: requests of one would get the effect, or the share, of the other.
+            let twice = |at: &usize| names[..*at].contains(&names[*at]);
+            if let Some(at) = (0..names.len()).find(twice) {
+                let field = format!("settings.{field}[{at}].name");
+                return Err(error(&field, format!("'{}' is there twice", names[at])));
+            }
+        }
+        if settings.max_attempts == 0 {
+            let what = "is 0: nothing could be sent to any server; it is 1 at least";
+            return Err(error("settings.limits.max-attempts", what.into()));
+        }
         if settings.peers && raw.peer_listen.is_none() {
             return Err(error("peer_listen", "is missing, but the settings allow peers".into()));
         }
--- /dev/null
+++ b/crates/mintshelf/tests/crossings/customers.rs
@@ -0,0 +1,110 @@
+//! Other customers: names in any script, extreme settings, settings that contradict themselves.
+
+use crate::stage::*;
+use mintshelf_testkit::*;
+use serde_json::{json, Value};
+use std::process::Command;
+
+/// A sidecar with settings changed, in front of a server; whether a request of a class is served.
+fn serves(class: &str, change: impl Fn(&mut Value)) -> u16 {
+    let server = Server::start(|_, _| Some(answer("served")));
+    let discovery = Discovery::start(1, vec![server.entry("a")]);
+    let mut config = config(discovery.at, vec![server.entry("a")]);
+    change(&mut config["settings"]);
+    let sidecar = Sidecar::start(PROGRAM, config);
+    let status = sidecar.ask(&request(class, "one")).unwrap().status();
+    // Another client still gets an answer: the process has not ended.
+    assert_eq!(sidecar.ask(&get("/-/ready")).unwrap().status(), 200);
+    status
+}
+
+#[test]
+fn names_may_be_in_any_script() {
+    for name in ["где", "otwórz", "東口", "a b", "x'\u{e9}"] {
+        let status = serves(name, |settings| {
+            settings["classes"][0]["name"] = json!(name);
+            settings["zones"] = json!(["północ", "город"]);
+            settings["flavors"] = json!(["шкаф"]);
+        });
+        assert_eq!(status, 200, "{name}");
+    }
+    let tenant = "корзина";
+    let server = Server::start(|_, _| Some(answer("served")));
+    let discovery = Discovery::start(1, vec![server.entry("a")]);
+    let mut config = config(discovery.at, vec![server.entry("a")]);
+    config["settings"]["tenants"][0]["name"] = json!(tenant);
+    let sidecar = Sidecar::start(PROGRAM, config);
+    let of = |org: &str| {
+        let text = String::from_utf8(request("safe", &format!("id-{}", org.len()))).unwrap();
+        let text = text.replace("X-Org: acme", &format!("X-Org: {org}"));
+        sidecar.ask(text.as_bytes()).unwrap().status()
+    };
+    assert_eq!([of(tenant), of("acme"), of("корзин")], [200, 400, 400]);
+}
+
+#[test]
+fn extreme_settings_are_served_or_refused_but_never_end_the_process() {
+    const LONGEST: u64 = 9_000_000_000_000_000_000;
+    let changes: &[(&str, &str, u64)] = &[
+        ("classes/0", "deadline", LONGEST),
+        ("classes/0", "deadline", 1),
+        ("classes/0", "goal-time", 0),
+        ("classes/0", "goal-time", LONGEST),
+        ("classes/1", "memory-span", 0),
+        ("classes/1", "memory-span", LONGEST),
+        ("invariants", "ask-within", 0),
+        ("invariants", "ask-within", LONGEST),
+        ("invariants", "cold", LONGEST),
+        ("invariants", "cold-from", 0),
+        ("invariants", "cold-from", 7),
+        ("invariants", "fall-multiple", 0),
+        ("invariants", "tip-after", 0),
+        ("invariants", "tip-after", LONGEST),
+        ("limits", "connect-timeout", LONGEST),
+        ("limits", "conn-idle", 0),
+        ("limits", "conn-idle", LONGEST),
+        ("limits", "max-retry-after", LONGEST),
+        ("limits", "max-attempts", 4_000_000_000),
+        ("", "tick", 0),
+        ("", "tick", LONGEST),
+        ("", "balancers", 0),
+        ("", "balancers", 4_000_000_000),
+    ];
+    for class in ["safe", "keyed", "unsafe"] {
+        for (place, key, value) in changes {
+            let status = serves(class, |settings| {
+                let path = if place.is_empty() { String::new() } else { format!("/{place}") };
+                settings.pointer_mut(&path).unwrap()[*key] = json!(value);
+            });
+            let what = format!("{class}, {place} {key} {value}");
+            assert!([200, 502, 503].contains(&status), "{what}: {status}");
+            // Only a deadline that is over at once leaves nobody to serve.
+            assert!(status == 200 || (*key, *value) == ("deadline", 1), "{what}: {status}");
+        }
+    }
+}
+
+#[test]
+fn settings_that_contradict_themselves_are_named_with_their_place() {
+    let file = std::env::temp_dir().join(format!("mintshelf-odd-{}.json", std::process::id()));
+    let changes: [(&str, &dyn Fn(&mut Value)); 6] = [
+        ("settings.classes[1].name", &|s| s["classes"][1]["name"] = json!("safe")),
+        ("settings.tenants[1].name", &|s| {
+            s["tenants"] = json!([{"name": "a", "share": 0.5}, {"name": "a", "share": 0.5}]);
+        }),
+        ("settings.limits.max-attempts", &|s| s["limits"]["max-attempts"] = json!(0)),
+        ("classes.semantics", &|s| s["classes"][0]["semantics"] = json!("often")),
+        ("classes.group", &|s| s["classes"][1]["group"] = json!("moon")),
+        ("registry-mode", &|s| s["registry-mode"] = json!("guess")),
+    ];
+    for (place, change) in changes {
+        let mut config = config(free_address(), vec![]);
+        change(&mut config["settings"]);
+        std::fs::write(&file, config.to_string()).unwrap();
+        let output = Command::new(PROGRAM).env("RELAY_CONFIG", &file).output().unwrap();
+        let said = String::from_utf8(output.stderr).unwrap();
+        assert!(!output.status.success() && said.lines().count() == 1, "{said}");
+        assert!(said.contains(place) && said.contains(file.to_str().unwrap()), "{said}");
+    }
+    std::fs::remove_file(&file).unwrap();
+}
--- a/crates/mintshelf/tests/crossings/main.rs
+++ b/crates/mintshelf/tests/crossings/main.rs
@@ -5,5 +5,6 @@
 mod attempts;
 mod clients;
 mod closes;
+mod customers;
 mod discovery;
 mod stage;
--- a/crates/proxy/src/platform.rs
+++ b/crates/proxy/src/platform.rs
@@ -149,8 +149,10 @@
     /// Reads what the module is told of a request.
     fn arrival(&self, headers: &HeaderMap) -> Result<Arrival, Unfit> {
         let bad = |what| Unfit::new(StatusCode::BAD_REQUEST, what);
+        // By its bytes: a name may be in any script.
         let number_of = |header: &str, of: &[String]| {
-            text(headers, header).and_then(|name| of.iter().position(|n| n == name))
+            let name = headers.get(header)?.as_bytes().trim_ascii();
+            of.iter().position(|n| n.as_bytes() == name)
         };
         if text(headers, TXN).is_none_or(str::is_empty) {
             return Err(bad("X-Txn is missing\n"));
