--- a/crates/mintshelf/tests/crossings/customers.rs
+++ b/crates/mintshelf/tests/crossings/customers.rs
@@ -5,23 +5,38 @@
 use serde_json::{json, Value};
 use std::process::Command;
 
-/// A sidecar with settings changed, in front of a server; whether a request of a class is served.
-fn serves(class: &str, change: impl Fn(&mut Value)) -> u16 {
-    let server = Server::start(|_, _| Some(answer("served")));
-    let discovery = Discovery::start(1, vec![server.entry("a")]);
-    let mut config = config(discovery.at, vec![server.entry("a")]);
-    change(&mut config["settings"]);
-    let sidecar = Sidecar::start(PROGRAM, config);
-    let status = sidecar.ask(&request(class, "one")).unwrap().status();
-    // Another client still gets an answer: the process has not ended.
-    assert_eq!(sidecar.ask(&get("/-/ready")).unwrap().status(), 200);
-    status
+/// A server and discovery for one sidecar after another.
+struct Stand {
+    config: Value,
+    _server: Server,
+    _discovery: Discovery,
+}
+
+impl Stand {
+    fn start() -> Self {
+        let server = Server::start(|_, _| Some(answer("served")));
+        let discovery = Discovery::start(1, vec![server.entry("a")]);
+        let config = config(discovery.at, vec![server.entry("a")]);
+        Stand { config, _server: server, _discovery: discovery }
+    }
+
+    /// A sidecar with settings changed; what a request of a class is answered.
+    fn serves(&self, class: &str, change: impl Fn(&mut Value)) -> u16 {
+        let mut config = self.config.clone();
+        change(&mut config["settings"]);
+        let sidecar = Sidecar::start(PROGRAM, config);
+        let status = sidecar.ask(&request(class, "one")).unwrap().status();
+        // Another client still gets an answer: the process has not ended.
+        assert_eq!(sidecar.ask(&get("/-/ready")).unwrap().status(), 200);
+        status
+    }
 }
 
 #[test]
 fn names_may_be_in_any_script() {
+    let stand = Stand::start();
     for name in ["где", "otwórz", "東口", "a b", "x'\u{e9}"] {
-        let status = serves(name, |settings| {
+        let status = stand.serves(name, |settings| {
             settings["classes"][0]["name"] = json!(name);
             settings["zones"] = json!(["północ", "город"]);
             settings["flavors"] = json!(["шкаф"]);
@@ -70,9 +85,10 @@
         ("", "balancers", 0),
         ("", "balancers", 4_000_000_000),
     ];
+    let stand = Stand::start();
     for class in ["safe", "keyed", "unsafe"] {
         for (place, key, value) in changes {
-            let status = serves(class, |settings| {
+            let status = stand.serves(class, |settings| {
                 let path = if place.is_empty() { String::new() } else { format!("/{place}") };
                 settings.pointer_mut(&path).unwrap()[*key] = json!(value);
             });
@@ -87,7 +103,8 @@
 #[test]
 fn settings_that_contradict_themselves_are_named_with_their_place() {
     let file = std::env::temp_dir().join(format!("mintshelf-odd-{}.json", std::process::id()));
-    let changes: [(&str, &dyn Fn(&mut Value)); 6] = [
+    type Change = dyn Fn(&mut Value);
+    let changes: [(&str, &Change); 6] = [
         ("settings.classes[1].name", &|s| s["classes"][1]["name"] = json!("safe")),
         ("settings.tenants[1].name", &|s| {
             s["tenants"] = json!([{"name": "a", "share": 0.5}, {"name": "a", "share": 0.5}]);
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -8,7 +8,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -21,11 +21,13 @@
 /// just then holds a copy of the socket until it runs its program.
 pub fn free_address() -> SocketAddr {
     const PORT: u16 = 19_007;
-    static LAST: AtomicU8 = AtomicU8::new(0);
-    let number = LAST.fetch_add(1, Ordering::Relaxed) + 1;
+    const BY_PORT: u16 = 250;
+    static LAST: AtomicU16 = AtomicU16::new(0);
+    let number = LAST.fetch_add(1, Ordering::Relaxed);
     let process = std::process::id();
-    let ip = Ipv4Addr::new(127, 10 + (process >> 8) as u8 % 200, process as u8, number);
-    (ip, PORT).into()
+    let host = (number % BY_PORT) as u8 + 1;
+    let ip = Ipv4Addr::new(127, 10 + (process >> 8) as u8 % 200, process as u8, host);
+    (ip, PORT + number / BY_PORT).into()
 }
 
 /// Waits until something holds; fails the test if it never does.
