--- a/crates/balancer/tests/cold.rs
+++ b/crates/balancer/tests/cold.rs
@@ -55,6 +55,9 @@
 const TOOK: Nanos = 40 * MS;
 const QUEUE: Nanos = 500 * MS;
 
+/// When an answer comes, to which instance's request, from which server, and when that was sent.
+type Answer = (Nanos, usize, String, ServerId, Nanos);
+
 /// Times at which the cold server is sent something, from its start on.
 fn sent_cold(world: &World, seed: u64) -> Vec<Nanos> {
     let mut draws = Draws(seed);
@@ -94,7 +97,7 @@
         heap.push(Reverse((first, 0, at)));
     }
     let (start, end) = (WARM_UP, WARM_UP + COLD);
-    let mut ends: BinaryHeap<Reverse<(Nanos, usize, String, ServerId, Nanos)>> = BinaryHeap::new();
+    let mut ends: BinaryHeap<Reverse<Answer>> = BinaryHeap::new();
     let mut free_at = vec![0; world.servers as usize + 1];
     let leaving: Vec<_> = warm[..9]
         .iter()
