One place each for a window, a request given up, what a list is, and the 6 s

Found on reading the whole change again; nothing behaves otherwise.

- `Driver::send_by` took a window from a class's tries, and on the platform from the class, and `come_back` made out the same a third time: all go by `Class::window`.
`TryPlan::window` is gone; its test asserts the same 20 s where the driver reads it.
- `Core::give_up` and `Core::abandon` ended requests by the same two lines; `Waiting::drop` took a client's leaving apart into three calls (`Core::leave`).
- A list knows itself whether it is well formed, where a pair was passed about.
- What counts as told after 6 s stood in two packages (`api::TOLD_WITHIN`).
- `unwanted` waited in two loops of one kind for a connection that is quiet.

--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -11,6 +11,9 @@
 /// Opaque id of one request, unique in an instance's life.
 pub type RequestId = Arc<str>;
 
+/// What discovery has and could be asked for counts as told after this, whatever calls failed.
+pub const TOLD_WITHIN: Nanos = 6_000_000_000;
+
 /// How often a request's effect may happen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Effect {
@@ -57,13 +60,10 @@
 }
 
 impl Class {
-    /// For how long after its first attempt a keyed request may be sent again; 0 where no
-    /// window binds.
-    pub fn window(&self) -> Nanos {
-        match self.effect {
-            Effect::Keyed => self.dedup_window,
-            Effect::Safe | Effect::Unsafe => 0,
-        }
+    /// For how long after its first attempt that may have run a keyed request may be sent
+    /// again; none where no window binds.
+    pub fn window(&self) -> Option<Nanos> {
+        (self.effect == Effect::Keyed).then_some(self.dedup_window)
     }
 }
 
--- a/crates/balancer/src/decide/discovery.rs
+++ b/crates/balancer/src/decide/discovery.rs
@@ -2,9 +2,7 @@
 
 use super::*;
 
-/// What discovery has counts as told after this. First calls and failed ones wait for parts of it.
-const TOLD_WITHIN: Nanos = 6 * SECOND;
-/// First discovery call falls within this.
+/// First discovery call falls within this, of the time after which news counts as told.
 pub(super) const WATCH_SPREAD: Nanos = TOLD_WITHIN / 5 * 2;
 /// The same where discovery has moved: its old address may fall silent.
 pub(super) const MOVE_SPREAD: Nanos = 600 * MS;
--- a/crates/config/src/module.rs
+++ b/crates/config/src/module.rs
@@ -160,7 +160,6 @@
                 bounds: plan.adaptive_bounds(),
                 attempts: plan.attempts,
                 hedge: hedge.filter(|_| cluster.second_copies),
-                window: plan.window,
                 connect: plan.connect,
                 idle: nanos(least(class.tries.idle, cluster.idle_timeout)),
             });
--- a/crates/config/tests/tries.rs
+++ b/crates/config/tests/tries.rs
@@ -284,8 +284,9 @@
     let [least, most] = status.bounds;
     assert_eq!(least, 200_000_000, "half its aim");
     assert_eq!(most, 400_000_000, "what is answered within the aim is not cut");
-    let queue = &module.tries[number("queue-run", 1)];
-    assert_eq!((queue.per_try, queue.window), (PerTry::Whole, 20_000_000_000));
+    let queue = number("queue-run", 1);
+    let window = module.settings.classes[queue].window();
+    assert_eq!((module.tries[queue].per_try, window), (PerTry::Whole, Some(20_000_000_000)));
     let over = LAB.replacen(
         "class = \"run-logs\"\n",
         "class = \"run-logs\"\noverrides = { max-attempts = 2, deadline = \"2s\" }\n",
--- a/crates/discovery/src/watch.rs
+++ b/crates/discovery/src/watch.rs
@@ -6,11 +6,8 @@
 
 use std::time::Duration;
 
-/// What discovery has and could be asked for counts as told after this.
-pub const TOLD_WITHIN: Duration = Duration::from_secs(6);
-
-/// How long a call of a watch that goes well waits for news: half of [`TOLD_WITHIN`]. Calls cost
-/// the service work for every sidecar; shorter ones would cost more and tell nothing sooner.
+/// How long a call of a watch that goes well waits for news: half of that time. Calls cost the
+/// service work for every sidecar; shorter ones would cost more and tell nothing sooner.
 const WAIT: Duration = Duration::from_secs(3);
 /// The first call of a watch shows whether it can go well.
 const FIRST_WAIT: Duration = Duration::from_secs(1);
--- a/crates/discovery/tests/told.rs
+++ b/crates/discovery/tests/told.rs
@@ -118,7 +118,6 @@
     }
 }
 
-const TOLD: Nanos = TOLD_WITHIN.as_nanos() as Nanos;
 /// How long a service that can be reached takes for an answer.
 const SERVED_IN: Duration = Duration::from_millis(400);
 
@@ -136,7 +135,7 @@
         back in 0.0..1.0f64,
     ) {
         let mut sidecar = Sidecar::start(seed, Duration::from_millis(ask_within));
-        prop_assert!(sidecar.now + SERVED_IN.as_nanos() as Nanos <= TOLD, "{}", sidecar.now);
+        prop_assert!(sidecar.now + SERVED_IN.as_nanos() as Nanos <= TOLD_WITHIN, "{}", sidecar.now);
         (0..well).for_each(|_| sidecar.answer(SERVED_IN));
         let mut begun = sidecar.now;
         for fault in faults {
@@ -146,7 +145,7 @@
         // Back somewhere in the last call that failed, or the wait after it.
         let reachable = begun + ((sidecar.now - begun) as f64 * back) as Nanos;
         sidecar.answer(SERVED_IN);
-        prop_assert!(sidecar.now - reachable <= TOLD, "{}", sidecar.now - reachable);
+        prop_assert!(sidecar.now - reachable <= TOLD_WITHIN, "{}", sidecar.now - reachable);
     }
 
     /// A watch that goes well falls silent: what comes from then on is heard in time.
@@ -165,6 +164,6 @@
             });
         }
         sidecar.answer(SERVED_IN);
-        prop_assert!(sidecar.now - silent <= TOLD, "{}", sidecar.now - silent);
+        prop_assert!(sidecar.now - silent <= TOLD_WITHIN, "{}", sidecar.now - silent);
     }
 }
--- a/crates/limits/benches/cost.rs
+++ b/crates/limits/benches/cost.rs
@@ -85,7 +85,6 @@
         bounds: [50 * MS, 600 * MS],
         attempts: 3,
         hedge,
-        window: 0,
         connect: 200 * MS,
         idle: 15_000 * MS,
     };
--- a/crates/limits/src/tries.rs
+++ b/crates/limits/src/tries.rs
@@ -48,9 +48,6 @@
     pub connect: Nanos,
     /// A connection that has rested for longer is not used.
     pub idle: Nanos,
-    /// For a keyed class, how long after an attempt that may have run a further one may reach
-    /// a server.
-    pub window: Nanos,
 }
 
 /// What is to be done with an attempt whose time is up.
@@ -164,16 +161,7 @@
 
     fn tries(per_try: PerTry, effect: Effect, hedge: Option<Hedge>) -> Tries {
         let bounds = [50 * MS, 600 * MS];
-        let plan = TryPlan {
-            effect,
-            per_try,
-            bounds,
-            attempts: 3,
-            hedge,
-            window: 0,
-            connect: MS,
-            idle: MS,
-        };
+        let plan = TryPlan { effect, per_try, bounds, attempts: 3, hedge, connect: MS, idle: MS };
         Tries::new(plan, 0)
     }
 
--- a/crates/proxy/src/discovery/list.rs
+++ b/crates/proxy/src/discovery/list.rs
@@ -1,5 +1,6 @@
 //! Lists as discovery writes them, and what the servers in them are called here.
 
+use crate::clock::nanos;
 use crate::endpoints::{number, Endpoints};
 use mintshelf_balancer::api::{Condition, ListKind, ListedServer};
 use mintshelf_config::platform::Names;
@@ -47,6 +48,8 @@
     pub rev: Option<u64>,
     /// It is complete.
     pub all: bool,
+    /// It can be read to its end, and has all that a list has.
+    pub well_formed: bool,
     targets: Option<Vec<Entry>>,
 }
 
@@ -105,13 +108,13 @@
     }
 }
 
-/// Reads an answer; true with it if it is whole and well formed.
-pub fn read_list(text: &[u8]) -> (List, bool) {
+/// Reads an answer, as far as it can be read.
+pub fn read_list(text: &[u8]) -> List {
     let mut list = List::default();
     let mut json = serde_json::Deserializer::from_slice(text);
-    let whole = ReadList(&mut list).deserialize(&mut json).and_then(|()| json.end()).is_ok();
-    let whole = whole && list.rev.is_some() && list.targets.is_some();
-    (list, whole)
+    let read = ReadList(&mut list).deserialize(&mut json).and_then(|()| json.end()).is_ok();
+    list.well_formed = read && list.rev.is_some() && list.targets.is_some();
+    list
 }
 
 /// The place of a name in the settings; for an unknown one, a number past them all.
@@ -146,21 +149,16 @@
                 State::Deleted => Condition::Gone,
             },
             size: entry.capacity_hint,
-            started_at: crate::clock::nanos(Duration::from_millis(entry.boot_ms)),
+            started_at: nanos(Duration::from_millis(entry.boot_ms)),
         }
     }
 
-    /// Takes over what was read of an answer; `well_formed` and `whole`: to its end, and that
-    /// end came. Back comes what it says.
-    pub fn take(
-        &mut self,
-        (list, well_formed): (List, bool),
-        whole: bool,
-    ) -> (ListKind, Vec<ListedServer>) {
+    /// Takes over what was read of an answer; `ended`: its end came. Back comes what it says.
+    pub fn take(&mut self, list: List, ended: bool) -> (ListKind, Vec<ListedServer>) {
         // Danger: of a malformed answer nothing is believed, but one cut short is
         // true as far as it came.
-        let targets = if well_formed || !whole { list.targets } else { None };
-        let (whole, targets) = (well_formed && whole, targets.unwrap_or_default());
+        let targets = if list.well_formed || !ended { list.targets } else { None };
+        let (whole, targets) = (list.well_formed && ended, targets.unwrap_or_default());
         let full = whole && list.all;
         if full {
             self.addresses.clear();
@@ -180,10 +178,10 @@
 
     /// Takes over the list in the configuration; none if it is malformed.
     pub fn take_known(&mut self, text: &str) -> Option<Vec<ListedServer>> {
-        let read = read_list(text.as_bytes());
-        let whole = read.1;
-        let (_, servers) = self.take(read, true);
-        whole.then_some(servers)
+        let list = read_list(text.as_bytes());
+        let well_formed = list.well_formed;
+        let (_, servers) = self.take(list, true);
+        well_formed.then_some(servers)
     }
 
     /// What an answer's revision makes of it; `now` by any clock.
--- a/crates/proxy/src/discovery/mod.rs
+++ b/crates/proxy/src/discovery/mod.rs
@@ -107,13 +107,12 @@
         mut answer: Received,
     ) -> CallEnd {
         loop {
-            let read = read_list(&answer.bytes);
-            let whole = read.1 && answer.whole;
-            let now = self.begun.elapsed();
-            let verdict = self.fleet.borrow_mut().judge(now, &read.0, whole);
+            let list = read_list(&answer.bytes);
+            let whole = list.well_formed && answer.whole;
+            let verdict = self.fleet.borrow_mut().judge(self.begun.elapsed(), &list, whole);
             match verdict {
                 Verdict::Take => {
-                    let (kind, servers) = self.fleet.borrow_mut().take(read, answer.whole);
+                    let (kind, servers) = self.fleet.borrow_mut().take(list, answer.whole);
                     if whole || !servers.is_empty() {
                         sink.listed(kind, self.revision(), servers);
                     }
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -347,8 +347,7 @@
     /// when servers have forgotten the key of what may have run at `ran_at`: it may not be
     /// told to repeat that.
     fn come_back(&self, class: u32, ran_at: Option<Nanos>) -> Option<Nanos> {
-        let window = self.classes.get(class as usize).filter(|c| c.effect == Effect::Keyed);
-        let mut window = window.map(|class| class.dedup_window);
+        let mut window = self.classes.get(class as usize).and_then(Class::window);
         let now = self.clock.now();
         if let Some((span, ran_at)) = window.zip(ran_at) {
             let left = ran_at.saturating_add(span).saturating_sub(now);
@@ -425,9 +424,9 @@
             at => at.min(taken.deadline),
         };
         let exceeded = taken.attempts.len() > self.max_attempts || beside;
-        let left = cancel.is_left();
-        if left {
-            core.abandon(&id);
+        if cancel.is_left() {
+            // Nobody hears the answer.
+            core.abandon(&id, Reply::Failed { timed_out: false });
         }
         let Some(taken) = core.taken.get_mut(&id) else { return };
         let client = taken.reply.clone().filter(|_| !exceeded && until > now);
@@ -476,12 +475,8 @@
     /// When a further attempt of a keyed request has to be with a server at the latest. The
     /// module decides when it starts; its connection and its writing take time.
     fn send_by(&self, taken: &Taken) -> Option<Nanos> {
-        let window = match self.tries.get(taken.class) {
-            Some(tries) => tries.borrow().plan().window,
-            None => self.classes.get(taken.class).map_or(0, Class::window),
-        };
-        let ran_at = taken.ran_at()?;
-        (window > 0).then(|| ran_at.saturating_add(window))
+        let window = self.classes.get(taken.class)?.window()?;
+        Some(taken.ran_at()?.saturating_add(window))
     }
 
     /// Whether an attempt whose own time is up is to end now; else when to look again.
@@ -701,11 +696,7 @@
     fn drop(&mut self) {
         self.sitting.leave();
         let mut core = self.driver.core.borrow_mut();
-        let left = core.taken.get_mut(&self.id).and_then(|taken| taken.reply.take());
-        if left.is_some() {
-            core.leave(&self.id);
-            core.forget(&self.id);
-            core.events.push_back(Event::Abandoned { id: self.id.clone() });
+        if core.leave(&self.id) {
             self.driver.turn(&mut core);
         }
     }
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -252,17 +252,12 @@
         let evicted = async {
             client.evicted.cancelled().await;
             // A request that came meanwhile is answered first.
-            while client.phase() > Phase::Idle || client.has_pending() {
-                sleep(ACCEPT_PAUSE).await;
-            }
+            quiet(client, |phase| phase <= Phase::Idle).await;
         };
         let over = async {
             self.draining.cancelled().await;
             sleep(WIND_DOWN).await;
-            // What a client has written but nobody has read yet is served first.
-            while client.phase() != Phase::Idle || client.has_pending() {
-                sleep(ACCEPT_PAUSE).await;
-            }
+            quiet(client, |phase| phase == Phase::Idle).await;
         };
         tokio::select! {
             () = dead => {}
@@ -276,3 +271,11 @@
         }
     }
 }
+
+/// Waits until a connection's phase fits and nothing stands on it that nobody has read yet: that
+/// is served first.
+async fn quiet(client: &Client, fits: impl Fn(Phase) -> bool) {
+    while !fits(client.phase()) || client.has_pending() {
+        sleep(ACCEPT_PAUSE).await;
+    }
+}
--- a/crates/proxy/src/open.rs
+++ b/crates/proxy/src/open.rs
@@ -162,21 +162,27 @@
                 Verdict::Refuse => Reply::Refused { after, ran_at },
                 Verdict::Fail => Reply::Failed { timed_out: false },
             };
-            drop(self.conclude(&id, reply));
-            self.events.push_back(Event::Abandoned { id });
+            self.abandon(&id, reply);
         }
     }
 
-    /// Ends a request whose client has left before its next attempt: nobody hears the answer.
-    pub(crate) fn abandon(&mut self, id: &RequestId) {
-        drop(self.conclude(id, Reply::Failed { timed_out: false }));
+    /// Ends a request that the module has not ended.
+    pub(crate) fn abandon(&mut self, id: &RequestId, reply: Reply) {
+        drop(self.conclude(id, reply));
         self.events.push_back(Event::Abandoned { id: id.clone() });
     }
 
-    /// Tells the attempts of a request that its client has left.
-    pub(crate) fn leave(&self, id: &RequestId) {
-        let attempts = self.taken.get(id).into_iter().flat_map(|taken| &taken.attempts);
-        attempts.filter(|attempt| attempt.out()).for_each(|attempt| attempt.cancel.leave());
+    /// Notes that a request's client has gone before its answer: the attempts that have begun go
+    /// on to their ends. Whether it still waited.
+    pub(crate) fn leave(&mut self, id: &RequestId) -> bool {
+        let Some(taken) = self.taken.get_mut(id) else { return false };
+        if taken.reply.take().is_none() {
+            return false;
+        }
+        taken.attempts.iter().filter(|a| a.out()).for_each(|a| a.cancel.leave());
+        self.forget(id);
+        self.events.push_back(Event::Abandoned { id: id.clone() });
+        true
     }
 
     /// Drops a request's record once nothing more can come of it.
--- a/crates/proxy/tests/lists.rs
+++ b/crates/proxy/tests/lists.rs
@@ -19,9 +19,9 @@
 
 /// Takes an answer over: what it says, and whether it was whole.
 fn take(fleet: &mut Fleet, text: &str, whole: bool) -> (ListKind, Vec<ListedServer>, bool) {
-    let read = read_list(text.as_bytes());
-    let well_formed = read.1;
-    let (kind, servers) = fleet.take(read, whole);
+    let list = read_list(text.as_bytes());
+    let well_formed = list.well_formed;
+    let (kind, servers) = fleet.take(list, whole);
     (kind, servers, whole && well_formed)
 }
 
