Testkit: one gate, one full listener, one entry of a list, one look at `after`

Found on reading the whole change again: the crossings' stage had written anew what other tests had. `Gate` serves for the `Lock` of limits.rs too, `full_listener` for the one in tries.rs, `entry` for three lists by hand, `Message::after` for three readings of a call. The cold test draws by the generator that the other tests use; the test of a further attempt shares the stand of the tests beside it. No assertion, bound or literal changes but for a request's name.

--- a/crates/balancer/tests/cold.rs
+++ b/crates/balancer/tests/cold.rs
@@ -6,20 +6,14 @@
 use common::*;
 use mintshelf_balancer::api::*;
 use mintshelf_balancer::decide::Balancer;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-/// A generator of its own, so that the module's draws stay the module's.
-struct Draws(u64);
-
-impl Draws {
-    fn next(&mut self) -> f64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut z = self.0;
-        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
-    }
+/// From 0 up to 1.
+fn draw(draws: &mut Pcg64Mcg) -> f64 {
+    (draws.next_u64() >> 11) as f64 / (1u64 << 53) as f64
 }
 
 /// How the traffic comes.
@@ -60,7 +54,8 @@
 
 /// Times at which the cold server is sent something, from its start on.
 fn sent_cold(world: &World, seed: u64) -> Vec<Nanos> {
-    let mut draws = Draws(seed);
+    // A generator of its own, so that the modules' draws stay theirs.
+    let mut draws = Pcg64Mcg::seed_from_u64(seed);
     let set = |self_index| Settings {
         self_index,
         instances: world.instances as u32,
@@ -93,7 +88,7 @@
         .collect();
     let mut number = 0u64;
     for (at, rate) in rates.iter().enumerate() {
-        let first = S + (-draws.next().ln() / rate * S as f64) as Nanos;
+        let first = S + (-draw(&mut draws).ln() / rate * S as f64) as Nanos;
         heap.push(Reverse((first, 0, at)));
     }
     let (start, end) = (WARM_UP, WARM_UP + COLD);
@@ -161,9 +156,9 @@
                 break;
             }
         }
-        let mut next = now + (-draws.next().ln() / rates[at] * S as f64) as Nanos;
+        let mut next = now + (-draw(&mut draws).ln() / rates[at] * S as f64) as Nanos;
         if world.shape == Shape::Held && (start..held_to).contains(&next) {
-            next = held_to + (draws.next() * 200.0) as Nanos * MS;
+            next = held_to + (draw(&mut draws) * 200.0) as Nanos * MS;
         }
         heap.push(Reverse((next, number, at)));
     }
--- a/crates/mintshelf/tests/conformance/sidecar.rs
+++ b/crates/mintshelf/tests/conformance/sidecar.rs
@@ -106,10 +106,7 @@
             let begun_broken = out.load(Ordering::SeqCst);
             streams.lock().unwrap().push(stream.try_clone().unwrap());
             while let Some(call) = Message::read(&mut stream) {
-                let after = call
-                    .path()
-                    .split_once("after=")
-                    .map(|(_, rest)| rest.split('&').next().unwrap().parse::<u64>().unwrap());
+                let after = call.after();
                 // A watch waits; an agent answers at once.
                 let until = Instant::now() + Duration::from_secs(10);
                 let waits = || after == Some(news.lock().unwrap().0) && Instant::now() < until;
--- a/crates/mintshelf/tests/crossings/attempts.rs
+++ b/crates/mintshelf/tests/crossings/attempts.rs
@@ -13,7 +13,7 @@
 #[test]
 fn a_keyed_request_is_not_sent_again_when_its_connection_comes_up_after_the_window() {
     // The first server takes the request and breaks off at the gate.
-    let gate = Gate::default();
+    let gate = Gate::shut();
     let wait = gate.clone();
     let first = Server::start(move |_, _| {
         wait.pass();
@@ -36,7 +36,7 @@
     gone["state"] = json!("DRAINING");
     discovery.set(vec![gone, late.entry("b")]);
     wait_until("the other server is told", || *discovery.calls.lock().unwrap() > calls);
-    gate.open();
+    gate.set(false);
     // Its connection is on the way now, and comes up a second after it was begun.
     thread::sleep(Duration::from_millis(200));
     let seen = late.accept(|_| answer("served"));
@@ -80,9 +80,9 @@
             noted.lock().unwrap().push(stream.try_clone().unwrap());
         }
     });
-    let entry = json!({"uid": "a", "endpoint": peer.at.to_string(), "state": "SERVING"});
-    let discovery = Discovery::start(1, vec![entry.clone()]);
-    let sidecar = Sidecar::start(PROGRAM, config(discovery.at, vec![entry]));
+    let entries = vec![entry("a", peer.at)];
+    let discovery = Discovery::start(1, entries.clone());
+    let sidecar = Sidecar::start(PROGRAM, config(discovery.at, entries));
     assert_eq!(sidecar.ask(&request("unsafe", "first")).unwrap().status(), 200);
     // The next request and what its server does come to the sidecar at one moment.
     let mut client = connect(sidecar.at).unwrap();
--- a/crates/mintshelf/tests/crossings/clients.rs
+++ b/crates/mintshelf/tests/crossings/clients.rs
@@ -7,13 +7,15 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-/// A server that holds its answer to `held` until the gate is open, a sidecar in front.
-fn stand() -> (Gate, Server, Discovery, Sidecar) {
-    let gate = Gate::default();
+/// A server that holds its answer to `held` until the gate is open, and gives this one then; a
+/// sidecar in front.
+fn stand_with(held: Vec<u8>) -> (Gate, Server, Discovery, Sidecar) {
+    let gate = Gate::shut();
     let wait = gate.clone();
     let server = Server::start(move |request, _| {
         if request.header("x-txn") == Some("held") {
             wait.pass();
+            return Some(held.clone());
         }
         Some(answer("served"))
     });
@@ -22,6 +24,10 @@
     (gate, server, discovery, sidecar)
 }
 
+fn stand() -> (Gate, Server, Discovery, Sidecar) {
+    stand_with(answer("served"))
+}
+
 fn send(sidecar: &Sidecar, requests: &[Vec<u8>]) -> TcpStream {
     let mut stream = connect(sidecar.at).unwrap();
     stream.write_all(&requests.concat()).unwrap();
@@ -35,7 +41,7 @@
     wait_until("the first is at the server", || ids(&server) == ["held"]);
     drop(client);
     settle(&sidecar, "after the close");
-    gate.open();
+    gate.set(false);
     settle(&sidecar, "after the answer");
     assert_eq!(ids(&server), ["held"]);
 }
@@ -96,26 +102,16 @@
 
 #[test]
 fn a_further_attempt_is_not_begun_for_a_client_that_has_gone() {
-    let gate = Gate::default();
-    let wait = gate.clone();
-    // Each attempt breaks off, the first when the gate is open.
-    let server = Server::start(move |request, _| {
-        if request.header("x-txn") == Some("gone") {
-            wait.pass();
-            return Some(b"HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n".to_vec());
-        }
-        Some(answer("served"))
-    });
-    let discovery = Discovery::start(1, vec![server.entry("a")]);
-    let sidecar = Sidecar::start(PROGRAM, config(discovery.at, vec![server.entry("a")]));
+    let broken = b"HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n";
+    let (gate, server, _discovery, sidecar) = stand_with(broken.to_vec());
     // The library does not look for an end behind bytes that it has read.
-    let client = send(&sidecar, &[request("safe", "gone"), request("safe", "behind")]);
-    wait_until("the first attempt is there", || ids(&server) == ["gone"]);
+    let client = send(&sidecar, &[request("safe", "held"), request("safe", "behind")]);
+    wait_until("the first attempt is there", || ids(&server) == ["held"]);
     drop(client);
     settle(&sidecar, "its client has gone");
-    gate.open();
+    gate.set(false);
     settle(&sidecar, "the attempt has ended");
-    assert_eq!(ids(&server), ["gone"]);
+    assert_eq!(ids(&server), ["held"]);
 }
 
 #[test]
--- a/crates/mintshelf/tests/crossings/discovery.rs
+++ b/crates/mintshelf/tests/crossings/discovery.rs
@@ -66,9 +66,7 @@
 fn meet(met: Met, call: &Message, list: &dyn Fn(u64) -> Vec<Value>, to: &mut TcpStream) -> bool {
     match met {
         Met::List(rev) => {
-            let after = call.path().split_once("after=").map(|(_, rest)| rest);
-            let after = after.and_then(|rest| rest.split('&').next()?.parse().ok());
-            if after == Some(rev) {
+            if call.after() == Some(rev) {
                 thread::sleep(NO_NEWS);
             }
             let text = json!({"rev": rev, "all": true, "targets": list(rev)}).to_string();
--- a/crates/mintshelf/tests/crossings/stage.rs
+++ b/crates/mintshelf/tests/crossings/stage.rs
@@ -2,47 +2,23 @@
 
 use mintshelf_testkit::*;
 use serde_json::{json, Value};
-use socket2::{Domain, Socket, Type};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
 pub const PROGRAM: &str = env!("CARGO_BIN_EXE_mintshelf");
 
-/// A gate that stand-ins wait at until the test opens it.
-#[derive(Clone, Default)]
-pub struct Gate(Arc<(Mutex<bool>, Condvar)>);
-
-impl Gate {
-    pub fn open(&self) {
-        *self.0 .0.lock().unwrap() = true;
-        self.0 .1.notify_all();
-    }
-
-    pub fn pass(&self) {
-        let shut = self.0 .0.lock().unwrap();
-        drop(self.0 .1.wait_timeout_while(shut, LONG, |open| !*open).unwrap());
-    }
-}
-
-/// A server to which no connection comes up: the kernel holds as many as it takes, unaccepted,
-/// and drops the first packet of any more, which is sent again a second later.
+/// A server to which no connection comes up until it serves.
 pub struct Unreached {
-    pub at: SocketAddr,
     listener: TcpListener,
     _filling: Vec<TcpStream>,
 }
 
 impl Unreached {
     pub fn start() -> Self {
-        let at = free_address();
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        socket.set_reuse_address(true).unwrap();
-        socket.bind(&at.into()).unwrap();
-        socket.listen(0).unwrap();
-        let filling = TcpStream::connect(at).unwrap();
-        Unreached { at, listener: socket.into(), _filling: vec![filling] }
+        let (listener, filling) = full_listener();
+        Unreached { listener, _filling: filling }
     }
 
     /// Serves from now on: what connects comes up late. Back come the requests, as they come.
@@ -59,7 +35,7 @@
     }
 
     pub fn entry(&self, uid: &str) -> Value {
-        json!({"uid": uid, "endpoint": self.at.to_string(), "state": "SERVING"})
+        entry(uid, self.listener.local_addr().unwrap())
     }
 }
 
@@ -79,15 +55,18 @@
     }
 
     pub fn ids(&self) -> Vec<String> {
-        let id = |request: &Message| request.header("x-txn").unwrap_or_default().to_string();
-        self.0.lock().unwrap().iter().map(id).collect()
+        ids_of(&self.0.lock().unwrap())
     }
 }
 
 /// Ids of what a server has seen.
 pub fn ids(server: &Server) -> Vec<String> {
+    ids_of(&server.seen())
+}
+
+fn ids_of(requests: &[Message]) -> Vec<String> {
     let id = |request: &Message| request.header("x-txn").unwrap_or_default().to_string();
-    server.seen().iter().map(id).collect()
+    requests.iter().map(id).collect()
 }
 
 /// A configuration in which a connection may take long to come up.
--- a/crates/mintshelf/tests/limits.rs
+++ b/crates/mintshelf/tests/limits.rs
@@ -4,31 +4,16 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::Arc;
 use std::thread;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_mintshelf");
 
-/// Answers are held back while it is shut.
-#[derive(Default)]
-struct Lock(Mutex<bool>, Condvar);
-
-impl Lock {
-    fn shut(&self, shut: bool) {
-        *self.0.lock().unwrap() = shut;
-        self.1.notify_all();
-    }
-
-    fn pass(&self) {
-        let held = self.0.lock().unwrap();
-        drop(self.1.wait_while(held, |shut| *shut).unwrap());
-    }
-}
-
-fn server(lock: &Arc<Lock>) -> Server {
-    let lock = lock.clone();
+/// Its answers are held back while the gate is shut.
+fn server(gate: &Gate) -> Server {
+    let gate = gate.clone();
     Server::start(move |_, _| {
-        lock.pass();
+        gate.pass();
         Some(answer("good"))
     })
 }
@@ -137,8 +122,8 @@
 
 #[test]
 fn a_full_queue_refuses_the_least_worth_at_once_and_serves_the_rest() {
-    let lock: Arc<Lock> = Arc::default();
-    let server = server(&lock);
+    let gate = Gate::default();
+    let server = server(&gate);
     let (daemon, admin) = daemon(&[server.at], "", "concurrency = 2\nqueue = 2");
     let at = daemon.at;
     let send = |path: &'static str| thread::spawn(move || ask(at, &get(path)).unwrap());
@@ -148,7 +133,7 @@
                 && figure(admin, "mintshelf_gate_waiting") == waiting
         });
     };
-    lock.shut(true);
+    gate.set(true);
     let inside = [send("/1"), send("/2")];
     levels(2.0, 0.0);
     let cheap = [send("/3"), send("/4")];
@@ -166,7 +151,7 @@
     gone.write_all(&get("/dear/3")).unwrap();
     drop(gone);
     levels(2.0, 2.0);
-    lock.shut(false);
+    gate.set(false);
     for got in inside.into_iter().chain(dear).map(|one| one.join().unwrap()) {
         assert_eq!(got.status(), 200);
     }
@@ -176,10 +161,10 @@
 
 #[test]
 fn who_leaves_the_queue_frees_its_place() {
-    let lock: Arc<Lock> = Arc::default();
-    let server = server(&lock);
+    let gate = Gate::default();
+    let server = server(&gate);
     let (daemon, admin) = daemon(&[server.at], "", "concurrency = 1\nqueue = 1");
-    lock.shut(true);
+    gate.set(true);
     let at = daemon.at;
     let first = thread::spawn(move || ask(at, &get("/1")).unwrap());
     wait_until("one is in", || figure(admin, "mintshelf_gate_requests") == 1.0);
@@ -189,7 +174,7 @@
     // A reset, as of a client that has died.
     socket_reset(gone);
     wait_until("none waits", || figure(admin, "mintshelf_gate_waiting") == 0.0);
-    lock.shut(false);
+    gate.set(false);
     assert_eq!(first.join().unwrap().status(), 200);
     assert_eq!(server.seen().len(), 1, "it never went on");
 }
@@ -235,18 +220,18 @@
 
 #[test]
 fn an_endpoint_gets_no_more_connections_than_it_may() {
-    let lock: Arc<Lock> = Arc::default();
-    let servers = [server(&lock), server(&lock)];
+    let gate = Gate::default();
+    let servers = [server(&gate), server(&gate)];
     let at = servers.each_ref().map(|server| server.at);
     let (daemon, _) = daemon(&at, "", "endpoint-connections = 3");
-    lock.shut(true);
+    gate.set(true);
     let at = daemon.at;
     let clients: Vec<_> =
         (0..20).map(|_| thread::spawn(move || ask(at, &get("/")).unwrap())).collect();
     wait_until("all places are taken", || servers.iter().all(|s| s.seen().len() == 3));
     // The rest is refused while they wait.
     wait_until("the rest is refused", || clients.iter().filter(|c| c.is_finished()).count() == 14);
-    lock.shut(false);
+    gate.set(false);
     let statuses: Vec<u16> = clients.into_iter().map(|c| c.join().unwrap().status()).collect();
     assert_eq!(statuses.iter().filter(|s| **s == 200).count(), 6, "{statuses:?}");
     assert!(statuses.iter().all(|s| [200, 503].contains(s)));
--- a/crates/mintshelf/tests/servers.rs
+++ b/crates/mintshelf/tests/servers.rs
@@ -1,7 +1,6 @@
 //! Servers that misbehave: what is tried again, and what is never passed on.
 
 use mintshelf_testkit::*;
-use serde_json::json;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_mintshelf");
 
@@ -121,8 +120,7 @@
     let sidecar = Sidecar::start(PROGRAM, config(discovery.at, vec![server.entry("old")]));
     assert_eq!(sidecar.ask(&request("safe", "1")).unwrap().status(), 200);
     assert_eq!(*server.connections.lock().unwrap(), 1);
-    discovery
-        .set(vec![json!({"uid": "new", "endpoint": server.at.to_string(), "state": "SERVING"})]);
+    discovery.set(vec![server.entry("new")]);
     // A request on a connection to the old one could be lost with its machine.
     let mut number = 1;
     wait_until("a connection of its own", || {
--- a/crates/mintshelf/tests/tries.rs
+++ b/crates/mintshelf/tests/tries.rs
@@ -322,17 +322,8 @@
 
 #[test]
 fn a_class_waits_no_longer_for_a_connection_than_it_says() {
-    // A listener whose queue is full: the kernel lets connections to it wait.
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
-    socket.listen(0).unwrap();
-    let deaf = socket.local_addr().unwrap().as_socket().unwrap();
-    let mut crowd = Vec::new();
-    let quick = Duration::from_millis(300);
-    while let Ok(stream) = std::net::TcpStream::connect_timeout(&deaf, quick) {
-        crowd.push(stream);
-        assert!(crowd.len() < 100, "its queue has no end");
-    }
+    let (deaf, _crowd) = full_listener();
+    let deaf = deaf.local_addr().unwrap();
     let at = free_address();
     let text = format!(
         "listen = \"{at}\"\n[classes.patient]\ndeadline = \"50s\"\nmax-attempts = 1\n\
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -56,6 +56,52 @@
     Closing { at, over }
 }
 
+/// What stand-ins wait at while it is shut.
+#[derive(Clone, Default)]
+pub struct Gate(Arc<(Mutex<bool>, Condvar)>);
+
+impl Gate {
+    /// One that is shut.
+    pub fn shut() -> Self {
+        let gate = Gate::default();
+        gate.set(true);
+        gate
+    }
+
+    /// Shuts it, or opens it for all that wait.
+    pub fn set(&self, shut: bool) {
+        *self.0 .0.lock().unwrap() = shut;
+        self.0 .1.notify_all();
+    }
+
+    /// Waits until it is open.
+    pub fn pass(&self) {
+        let shut = self.0 .0.lock().unwrap();
+        drop(self.0 .1.wait_timeout_while(shut, LONG, |shut| *shut).unwrap());
+    }
+}
+
+/// A listener whose queue is full: the kernel drops the first packet of a connection to it,
+/// which is sent again a second later. Back comes what fills it, too.
+pub fn full_listener() -> (TcpListener, Vec<TcpStream>) {
+    let at = free_address();
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&at.into()).unwrap();
+    socket.listen(0).unwrap();
+    let mut crowd = Vec::new();
+    let quick = Duration::from_millis(300);
+    while let Ok(stream) = TcpStream::connect_timeout(&at, quick) {
+        crowd.push(stream);
+        assert!(crowd.len() < 100, "its queue has no end");
+    }
+    (socket.into(), crowd)
+}
+
+/// How discovery lists a server that is up.
+pub fn entry(uid: &str, at: SocketAddr) -> Value {
+    json!({"uid": uid, "endpoint": at.to_string(), "state": "SERVING"})
+}
+
 /// Stops a listener when dropped.
 struct Closing {
     at: SocketAddr,
@@ -96,6 +142,12 @@
         self.head.split(' ').nth(1).unwrap_or("")
     }
 
+    /// Of a call to discovery: the revision that what it asks for is newer than.
+    pub fn after(&self) -> Option<u64> {
+        let (_, rest) = self.path().split_once("after=")?;
+        Some(rest.split('&').next().unwrap().parse().unwrap())
+    }
+
     /// Reads the next message that has a length; none at the connection's end.
     pub fn read(stream: &mut TcpStream) -> Option<Message> {
         let mut head = Vec::new();
@@ -183,7 +235,7 @@
 
     /// How discovery lists it.
     pub fn entry(&self, uid: &str) -> Value {
-        json!({"uid": uid, "endpoint": self.at.to_string(), "state": "SERVING"})
+        entry(uid, self.at)
     }
 }
 
@@ -213,10 +265,7 @@
         let (shared, counted) = (list.clone(), calls.clone());
         let closing = serve(at, move |mut stream| {
             while let Some(call) = Message::read(&mut stream) {
-                let after = call
-                    .path()
-                    .split_once("after=")
-                    .map(|(_, rest)| rest.split('&').next().unwrap().parse::<u64>().unwrap());
+                let after = call.after();
                 let (lock, changed) = &*shared;
                 let held = lock.lock().unwrap();
                 // A watch waits for news, or a while.
