Tests that fail: cost and forgetting in large fleets, sends after a drain (known failures)

The discovery stand-in sends changes alone.

The late connection's request is sent to the drained server.

--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -1,6 +1,6 @@
 //! The balancer of one instance: its state, and the dispatch of events to the policy.
 
-use crate::api::{Action, Event, Nanos, Outcome, RequestId, Settings};
+use crate::api::{Action, Event, Nanos, Outcome, RequestId, ServerId, Settings};
 use crate::budget::RetryBudget;
 use crate::rng::Rng;
 use crate::state::{
@@ -90,6 +90,14 @@
         self.retry_budget.covers(1.0)
     }
 
+    /// Attempts in flight at a server; none if it is not listed.
+    #[must_use]
+    pub fn in_flight(&self, server: ServerId) -> Option<u32> {
+        let index = self.servers.index_of(server)?;
+        let state = &self.servers[index];
+        (!state.is_removed()).then_some(state.in_flight)
+    }
+
     fn dispatch(&mut self, event: Event) {
         match event {
             Event::Servers { kind, entries, .. } => self.on_list(kind, &entries),
--- /dev/null
+++ b/crates/mintshelf/tests/large_fleet.rs
@@ -0,0 +1,137 @@
+//! The real sidecar with a list of 200 and of 3,200 servers: what a request and a change of the
+//! list cost it in CPU time. Times are compared within one run, so that they hold on any machine.
+
+use mintshelf_test_support::{
+    config, connect, entry, ok_response, request, wait_until, Discovery, Message, Process as _,
+    Server, Sidecar,
+};
+use serde_json::{json, Value};
+use std::io::Write;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_mintshelf");
+/// Servers of a usual fleet, and of the largest one.
+const USUAL: usize = 200;
+const LARGE: usize = 3_200;
+/// Listeners that all servers of a fleet share.
+const LISTENERS: usize = 16;
+/// Requests in one measurement.
+const REQUESTS: usize = 60;
+/// Changes of the list in one measurement, and entries in each.
+const CHANGES: usize = 10;
+const CHANGED: usize = 10;
+/// Highest cost at the large fleet, in multiples of that at the usual one.
+const MAX_RATIO: f64 = 2.0;
+
+/// A sidecar between a client and a fleet of `count` listed servers.
+struct Stage {
+    sidecar: Sidecar,
+    discovery: Discovery,
+    addresses: Vec<SocketAddr>,
+    _servers: Vec<Server>,
+}
+
+impl Stage {
+    fn start(count: usize, boot_ms: u64, response: &'static [u8]) -> Self {
+        let respond = move |_: &Message, _| Some(response.to_vec());
+        let servers: Vec<Server> = (0..LISTENERS).map(|_| Server::start(respond)).collect();
+        let addresses: Vec<SocketAddr> =
+            (0..count).map(|number| servers[number % LISTENERS].at).collect();
+        let entries: Vec<Value> = addresses
+            .iter()
+            .enumerate()
+            .map(|(number, at)| listed(number, *at, "SERVING", boot_ms))
+            .collect();
+        let discovery = Discovery::start(7, entries);
+        let mut config = config(discovery.at, Vec::new());
+        config["known"] = json!({"rev": 0, "all": true, "targets": []});
+        config["settings"]["invariants"]["cold"] = json!(60_000_000_000u64);
+        config["limits"]["memory_mb"] = json!(48);
+        for class in config["settings"]["classes"].as_array_mut().unwrap() {
+            class["goal-time"] = json!(200_000_000u64);
+        }
+        let sidecar = Sidecar::start(PROGRAM, config);
+        let stage = Stage { sidecar, discovery, addresses, _servers: servers };
+        stage.wait_for_calls(2);
+        stage
+    }
+
+    /// Waits until the sidecar has called again, and so has applied the lists before.
+    fn wait_for_calls(&self, calls: usize) {
+        wait_until("the list is read", || *self.discovery.calls.lock().unwrap() >= calls);
+    }
+
+    /// CPU time of requests, one after the other.
+    fn cost_of_requests(&self) -> Duration {
+        self.send(REQUESTS);
+        let before = self.sidecar.cpu_time();
+        self.send(REQUESTS);
+        self.sidecar.cpu_time() - before
+    }
+
+    fn send(&self, count: usize) {
+        let mut client = connect(self.sidecar.at).unwrap();
+        for number in 0..count {
+            client.write_all(&request("safe", &format!("r{number}"))).unwrap();
+            assert!(Message::read(&mut client).is_some(), "request {number} has no response");
+        }
+    }
+
+    /// CPU time of changes of the list that name a few servers each.
+    fn cost_of_changes(&self) -> Duration {
+        let before = self.sidecar.cpu_time();
+        for step in 0..CHANGES {
+            let state = if step % 2 == 0 { "DRAINING" } else { "SERVING" };
+            let changed = (0..CHANGED)
+                .map(|number| listed(number, self.addresses[number], state, 0))
+                .collect();
+            let calls = *self.discovery.calls.lock().unwrap();
+            self.discovery.change(changed);
+            self.wait_for_calls(calls + 1);
+        }
+        self.sidecar.cpu_time() - before
+    }
+}
+
+fn listed(number: usize, at: SocketAddr, state: &str, boot_ms: u64) -> Value {
+    let mut listed = entry(&format!("s-{number:08x}"), at);
+    listed["state"] = json!(state);
+    listed["boot_ms"] = json!(boot_ms);
+    listed
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+fn assert_costs_the_same(what: &str, measure: impl Fn(usize) -> Duration) {
+    let usual = measure(USUAL);
+    let large = measure(LARGE);
+    let ratio = large.as_secs_f64() / usual.as_secs_f64();
+    println!("{what}: {usual:?} with {USUAL} servers, {large:?} with {LARGE}, {ratio:.2}");
+    assert!(ratio < MAX_RATIO, "{what}: {usual:?} and {large:?}, {ratio:.1} times");
+}
+
+fn served() -> &'static [u8] {
+    ok_response("served").leak()
+}
+
+#[test]
+fn in_a_large_fleet_requests_cost_the_same() {
+    let served = served();
+    let full = b"HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n".as_slice();
+    let states =
+        [("all sound", 0, served), ("all warming up", unix_ms(), served), ("all full", 0, full)];
+    for (what, boot_ms, response) in states {
+        assert_costs_the_same(what, |count| {
+            Stage::start(count, boot_ms, response).cost_of_requests()
+        });
+    }
+}
+
+#[test]
+fn in_a_large_fleet_changes_of_ten_servers_cost_the_same() {
+    let served = served();
+    assert_costs_the_same("changes", |count| Stage::start(count, 0, served).cost_of_changes());
+}
--- a/crates/mintshelf/tests/races/discovery.rs
+++ b/crates/mintshelf/tests/races/discovery.rs
@@ -1,8 +1,9 @@
 //! Lists that go quiet, come late, or are older than the one held.
 
-use crate::fixture::PROGRAM;
+use crate::fixture::{ids, slow_connects, Unreached, PROGRAM};
 use mintshelf_test_support::{
-    config, ok_response, request, wait_until, Message, Peer, Server, Sidecar, TEST_TIMEOUT,
+    config, connect, ok_response, request, wait_until, Discovery, Message, Peer, Server, Sidecar,
+    TEST_TIMEOUT,
 };
 use serde_json::{json, Value};
 use std::io::Write;
@@ -281,3 +282,30 @@
     wait_until("the new address is asked", || !moved.calls().is_empty());
     assert!(reloaded_at.elapsed() < Duration::from_secs(4), "{:?}", reloaded_at.elapsed());
 }
+
+/// An attempt whose connection came up late was sent to a server that had been drained meanwhile.
+#[test]
+fn a_connection_that_comes_up_after_its_server_drains_carries_nothing() {
+    for state in ["DRAINING", "DELETED"] {
+        let late = Unreached::start();
+        let sound = Server::start(|_, _| Some(ok_response("served")));
+        let discovery = Discovery::start(1, vec![late.entry("a")]);
+        let sidecar = Sidecar::start(PROGRAM, slow_connects(discovery.at, vec![late.entry("a")]));
+        wait_until("the first watch", || *discovery.calls.lock().unwrap() > 0);
+        let mut client = connect(sidecar.at).unwrap();
+        client.write_all(&request("unsafe", "u")).unwrap();
+        // Its connection is on the way; the list is read before it comes up.
+        thread::sleep(Duration::from_millis(200));
+        let mut out_of_service = late.entry("a");
+        out_of_service["state"] = json!(state);
+        let calls = *discovery.calls.lock().unwrap();
+        discovery.change(vec![out_of_service, sound.entry("b")]);
+        wait_until("the change is read", || *discovery.calls.lock().unwrap() > calls);
+        let seen = late.accept(|_| ok_response("served"));
+        let got = Message::read(&mut client).unwrap();
+        thread::sleep(Duration::from_millis(1_500));
+        assert_eq!(seen.ids(), Vec::<String>::new(), "{state}: sent to it; {}", got.head);
+        assert_eq!(got.status(), 200, "{state}: {}", got.head);
+        assert_eq!(ids(&sound), ["u"], "{state}");
+    }
+}
--- a/crates/test-support/src/discovery.rs
+++ b/crates/test-support/src/discovery.rs
@@ -20,6 +20,25 @@
 struct EndpointList {
     revision: u64,
     entries: Vec<Value>,
+    /// The changes that led to the current revision, with the revision of each; callers that know
+    /// an older list than these began with get the complete one.
+    changes: Vec<(u64, Vec<Value>)>,
+}
+
+impl EndpointList {
+    /// The list as JSON: what changed after a revision, or all of it where that is not known.
+    fn after(&self, revision: Option<u64>) -> Value {
+        let is_covered = |after: &u64| {
+            *after == self.revision
+                || self.changes.first().is_some_and(|(first, _)| *first <= after + 1)
+        };
+        let Some(after) = revision.filter(is_covered).filter(|_| !self.changes.is_empty()) else {
+            return json!({"rev": self.revision, "all": true, "targets": self.entries});
+        };
+        let newer = self.changes.iter().filter(|(revision, _)| *revision > after);
+        let changed: Vec<&Value> = newer.flat_map(|(_, entries)| entries).collect();
+        json!({"rev": self.revision, "all": false, "targets": changed})
+    }
 }
 
 struct SharedList {
@@ -36,7 +55,7 @@
         let is_unchanged = |list: &mut EndpointList| list.revision == known;
         let waited = self.changed.wait_timeout_while(current, timeout, is_unchanged);
         let (current, _) = waited.unwrap();
-        json!({"rev": current.revision, "all": true, "targets": current.entries}).to_string()
+        current.after(after).to_string()
     }
 }
 
@@ -64,7 +83,7 @@
     /// # Panics
     /// The address cannot be bound.
     pub fn start_at(at: SocketAddr, revision: u64, entries: Vec<Value>) -> Self {
-        let current = Mutex::new(EndpointList { revision, entries });
+        let current = Mutex::new(EndpointList { revision, entries, changes: Vec::new() });
         let list = Arc::new(SharedList { current, changed: Condvar::new() });
         let calls = Arc::new(Mutex::new(0));
         let served = list.clone();
@@ -89,6 +108,23 @@
         let mut current = self.list.current.lock().unwrap();
         current.revision += 1;
         current.entries = entries;
+        current.changes.clear();
+        self.list.changed.notify_all();
+    }
+
+    /// Changes the entries with these `uid`s, adds those that are new, and answers the watches
+    /// that wait with these alone.
+    ///
+    /// # Panics
+    /// A thread of the service panicked.
+    pub fn change(&self, changed: Vec<Value>) {
+        let mut current = self.list.current.lock().unwrap();
+        current.revision += 1;
+        let revision = current.revision;
+        current.entries.retain(|entry| changed.iter().all(|other| other["uid"] != entry["uid"]));
+        let listed = changed.iter().filter(|entry| entry["state"] != "DELETED").cloned();
+        current.entries.extend(listed);
+        current.changes.push((revision, changed));
         self.list.changed.notify_all();
     }
 }
--- a/crates/test-support/src/process.rs
+++ b/crates/test-support/src/process.rs
@@ -1,6 +1,7 @@
 //! What tests read about a process in `/proc`, and signals to it.
 
 use std::process::{Child, Command};
+use std::time::Duration;
 
 /// A running process.
 pub trait Process {
@@ -16,6 +17,15 @@
         assert!(Command::new("kill").args(["-s", name, &pid]).status().unwrap().success());
     }
 
+    /// CPU time that the process has used, as long as it has one thread.
+    ///
+    /// # Panics
+    /// The process has ended.
+    fn cpu_time(&self) -> Duration {
+        let schedstat = std::fs::read_to_string(format!("/proc/{}/schedstat", self.pid())).unwrap();
+        Duration::from_nanos(schedstat.split(' ').next().unwrap().parse().unwrap())
+    }
+
     /// Number of open file descriptors.
     ///
     /// # Panics
