Balancer: sums, order and health kept up to date by changes, known servers keep their places

Cause: capacity was summed over all servers each time it was asked for, once for each warming server that a request looked at; each refresh of the order, which failures and overdue attempts ask for, collected and filtered all servers; a retry beyond the order looked at all of them; a list sorted all anew. A complete list marked all servers removed before it was applied, and a new server took the place of one that stayed: that one came in as new, took the next one's place, and so on.

Change: state/capacity.rs keeps sums of sizes and starts of warm-ups, state/ordered_servers.rs the order and the deduplication groups, state/server_table.rs the servers that may be unhealthy. Known entries are applied first, then what the complete list lacks is removed, then new ones come in; their idle connections are closed too. Retries beyond the order look at 256 servers at most. A server that is not known and is listed as removed is not added.

--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -67,6 +67,7 @@
             overload: OverloadState::new(&settings, now),
             retry_budget: RetryBudget::new(settings.retry_ratio, settings.retry_budget_max),
             last_gossip_at: now,
+            servers: ServerTable::new(&settings, now),
             settings,
             ..Balancer::default()
         };
@@ -79,6 +80,7 @@
     /// from call to call.
     pub fn handle(&mut self, now: Nanos, event: Event, actions: &mut Vec<Action>) {
         self.now = now;
+        self.servers.advance(now);
         mem::swap(&mut self.actions, actions);
         self.dispatch(event);
         mem::swap(&mut self.actions, actions);
@@ -200,6 +202,7 @@
         if let Some(request) = self.requests.get_mut(id) {
             request.attempts[attempt].is_overdue = true;
             self.servers[index].overdue += 1;
+            self.servers.suspect(index);
         }
     }
 
--- a/crates/balancer/src/decide/candidates.rs
+++ b/crates/balancer/src/decide/candidates.rs
@@ -3,7 +3,7 @@
 use super::{Balancer, MS, SECOND};
 use crate::api::{Group, Nanos, ServerId};
 use crate::server_order::{Candidates, ServerOrder};
-use crate::state::{Request, ServerState};
+use crate::state::{OrderedServers, Request};
 
 /// The orders are refreshed at least this often, since speeds drift.
 const ORDER_MAX_AGE: Nanos = 200 * MS;
@@ -17,6 +17,8 @@
 const SUBSET_USES: f64 = 12.0;
 /// A server is eligible for known work that it does within this part of the objective.
 const ELIGIBLE_SHARE: f64 = 0.8;
+/// Servers that are looked at beyond the order of a class, in a group or in all.
+const FALLBACK_MAX: usize = 256;
 /// Overdue attempts are ignored if servers without any have less than this share of the size.
 const OVERDUE_PANIC_SHARE: f64 = 0.5;
 /// Ejections are ignored if servers that are not ejected have less than this share of the size.
@@ -28,38 +30,41 @@
         if !self.orders.is_stale && age < ORDER_MAX_AGE {
             return;
         }
-        let mut chosen = self.healthy_servers();
-        chosen.truncate(self.subset_size());
+        let size = self.subset_size();
+        let chosen = self.healthy_servers(size);
         let classes = 0..self.settings.classes.len();
         self.orders.by_class = classes.map(|class| self.class_order(class, &chosen)).collect();
         self.orders.refreshed_at = self.now;
         self.orders.is_stale = false;
     }
 
-    /// Servers in service that are neither ejected nor have overdue attempts. If that leaves
-    /// too few, the fault is elsewhere: servers with overdue attempts return first, then the
-    /// ejected ones (panic thresholds).
-    fn healthy_servers(&self) -> Vec<usize> {
-        let mut servers = self.servers.live();
-        let is_in = |server: &ServerState| server.ejected_until <= self.now;
-        let is_healthy = |server: &ServerState| is_in(server) && server.overdue == 0;
-        let total = self.servers.size_of(&servers, |_| true);
-        let healthy = self.servers.size_of(&servers, is_healthy);
-        let ignores_overdue = healthy < OVERDUE_PANIC_SHARE * total;
-        let ignores_ejected = self.servers.size_of(&servers, is_in) < EJECTED_PANIC_SHARE * total;
-        servers.retain(|index| {
+    /// The first servers in service that are neither ejected nor have overdue attempts. If that
+    /// leaves too few, the fault is elsewhere: servers with overdue attempts return first, then
+    /// the ejected ones (panic thresholds).
+    fn healthy_servers(&mut self, max: usize) -> Vec<usize> {
+        let now = self.now;
+        let mut unhealthy_size = 0.0;
+        let mut ejected_size = 0.0;
+        for server in self.servers.unhealthy(now) {
+            unhealthy_size += server.listed.size;
+            ejected_size += f64::from(u8::from(server.is_ejected(now))) * server.listed.size;
+        }
+        let total = self.servers.capacity().size();
+        let ignores_overdue = total - unhealthy_size < OVERDUE_PANIC_SHARE * total;
+        let ignores_ejected = total - ejected_size < EJECTED_PANIC_SHARE * total;
+        let is_usable = |index: &usize| {
             let server = &self.servers[*index];
-            ignores_ejected || is_healthy(server) || ignores_overdue && is_in(server)
-        });
-        servers
+            ignores_ejected || server.is_healthy(now) || ignores_overdue && !server.is_ejected(now)
+        };
+        self.servers.in_service().iter().filter(is_usable).take(max).collect()
     }
 
     /// How many servers this instance uses: many instances would overload each with connections.
     fn subset_size(&self) -> usize {
         let idle_timeout = self.settings.idle_timeout as f64;
         let uses = self.arrivals_per_second() * idle_timeout / SECOND as f64;
-        let live = self.servers.live().len().max(1);
-        let connections = f64::from(self.settings.instances) / live as f64;
+        let in_service = self.servers.in_service().len().max(1);
+        let connections = f64::from(self.settings.instances) / in_service as f64;
         let affordable = SUBSET_COST / (self.settings.prices.connection * connections / 100.0);
         let min = (affordable as usize).clamp(SUBSET_MIN_PRICED, SUBSET_MIN);
         ((uses / SUBSET_USES) as usize).max(min)
@@ -109,7 +114,8 @@
         }
     }
 
-    /// Servers of the request's group: those of its order not yet tried, else any of these.
+    /// Servers of the request's group: those of its order not yet tried, else others not yet
+    /// tried, else any.
     fn untried_servers(&self, request: &Request, group_of: Option<ServerId>) -> Vec<usize> {
         let is_untried = |index: &usize| {
             let id = self.servers[*index].listed.id;
@@ -118,15 +124,32 @@
         let is_in_group = |index: &usize| self.is_in_group(request, group_of, *index);
         let order = self.orders.by_class[request.class].members();
         let in_order = order.iter().copied().filter(is_in_group).filter(is_untried);
-        let mut servers: Vec<usize> = in_order.collect();
-        let all = self.servers.order.iter().copied().filter(is_in_group);
-        if servers.is_empty() {
-            servers = all.clone().filter(is_untried).collect();
+        let servers: Vec<usize> = in_order.collect();
+        if !servers.is_empty() {
+            return servers;
         }
-        if servers.is_empty() {
-            servers = all.collect();
+        let Some(group) = self.group_servers(request, group_of) else { return servers };
+        let untried: Vec<usize> = group.iter().filter(is_untried).take(FALLBACK_MAX).collect();
+        if !untried.is_empty() {
+            return untried;
+        }
+        group.iter().take(FALLBACK_MAX).collect()
+    }
+
+    /// The servers in service among which a request may be retried; `None` if there are none.
+    fn group_servers(
+        &self,
+        request: &Request,
+        group_of: Option<ServerId>,
+    ) -> Option<&OrderedServers> {
+        let all = Some(self.servers.in_service());
+        let Some(server) = group_of else { return all };
+        let listed = || Some(&self.servers[self.servers.index_of(server)?].listed);
+        match self.settings.classes[request.class].group {
+            Group::All => all,
+            Group::Zone => self.servers.in_zone(listed()?.zone),
+            Group::Cell => self.servers.in_cell(listed()?.cell),
         }
-        servers
     }
 
     /// Whether a server discards repeats of what another one ran. The group of a server that
--- a/crates/balancer/src/decide/discovery.rs
+++ b/crates/balancer/src/decide/discovery.rs
@@ -54,29 +54,42 @@
         if kind != ListKind::Cached {
             self.discovery.establish_watch();
         }
-        if kind != ListKind::Changes {
-            // A server that a complete list lacks has been removed.
-            self.servers.mark_all_removed();
-        }
-        for entry in entries {
-            self.apply_entry(entry);
+        let is_first = !self.servers.has_listed();
+        let is_complete = kind != ListKind::Changes;
+        if is_complete {
+            self.servers.begin_complete_list();
         }
+        let is_known = |entry: &&ListedServer| self.servers.index_of(entry.id).is_some();
+        let (known, new): (Vec<_>, Vec<_>) = entries.iter().partition(is_known);
+        known.into_iter().for_each(|entry| self.apply_entry(entry, is_first));
+        // A server that a complete list lacks has been removed. Its place in the table may go to
+        // a new one, and that of a server that stays must not: so new ones come last.
+        let removed = if is_complete { self.servers.remove_unnamed() } else { Vec::new() };
+        new.into_iter().for_each(|entry| self.apply_entry(entry, is_first));
+        self.servers.apply_changes();
         // Idle connections to these are of no use, and cost both sides file descriptors.
         let out_of_service = entries.iter().filter(|entry| entry.state != EndpointState::Live);
-        self.actions.extend(out_of_service.map(|entry| Action::CloseIdle { server: entry.id }));
-        self.servers.sort();
+        let out_of_service = out_of_service.map(|entry| entry.id).chain(removed);
+        self.actions.extend(out_of_service.map(|server| Action::CloseIdle { server }));
         self.orders.is_stale = true;
     }
 
-    fn apply_entry(&mut self, entry: &ListedServer) {
-        let fresh = self.fresh_server(entry);
-        if self.servers.index_of(entry.id).is_some() {
-            self.servers.update(fresh);
-        } else {
-            // A server that a later list adds has just started, unless it states when.
-            let is_added = !self.servers.order.is_empty() && entry.started_at == 0;
-            let started_at = fresh.started_at.or(is_added.then_some(self.now));
-            self.servers.insert(ServerState { started_at, ..fresh });
+    /// Applies an entry; `is_first`: no server was listed before this list.
+    fn apply_entry(&mut self, entry: &ListedServer, is_first: bool) {
+        match self.servers.index_of(entry.id) {
+            Some(index) if self.servers.update(index, entry) => {}
+            Some(index) => {
+                let fresh = self.fresh_server(entry);
+                self.servers.restart(index, fresh);
+            }
+            None if entry.state == EndpointState::Removed => {}
+            None => {
+                let fresh = self.fresh_server(entry);
+                // A server that a later list adds has just started, unless it states when.
+                let is_added = !is_first && entry.started_at == 0;
+                let started_at = fresh.started_at.or(is_added.then_some(self.now));
+                self.servers.insert(ServerState { started_at, ..fresh });
+            }
         }
     }
 
--- a/crates/balancer/src/decide/health.rs
+++ b/crates/balancer/src/decide/health.rs
@@ -24,6 +24,7 @@
             server.ejections += 1;
             // When it returns, one more failure ejects it again.
             server.failures.sum = EJECT_AFTER - 1.0;
+            self.servers.suspect(index);
             self.orders.is_stale = true;
         }
     }
--- a/crates/balancer/src/decide/peers.rs
+++ b/crates/balancer/src/decide/peers.rs
@@ -20,7 +20,7 @@
             return;
         }
         self.last_gossip_at = self.now;
-        let first = (self.rng.draw() * self.servers.order.len() as f64) as usize;
+        let first = (self.rng.draw() * self.servers.in_service().len() as f64) as usize;
         let mut message = self.traffic.halve_tenants(self.now, RATE_HALF_LIFE);
         self.halve_observations(first, &mut message);
         let peer = (self.rng.draw() * f64::from(others)) as u32;
@@ -32,15 +32,17 @@
     fn halve_observations(&mut self, first: usize, message: &mut GossipMessage) {
         let half_life = self.speed_memory().half_life;
         let max_servers = GossipMessage::max_servers(message.tenants.len());
-        let count_in_order = self.servers.order.len();
-        for offset in 0..count_in_order {
-            let index = self.servers.order[(first + offset) % count_in_order];
+        let count_in_service = self.servers.in_service().len();
+        for offset in 0..count_in_service {
+            if message.servers.len() >= max_servers {
+                return;
+            }
+            let index = self.servers.in_service().at((first + offset) % count_in_service);
             let server = &self.servers[index];
             let ratio = &server.log_latency_ratio;
             let sum = ratio.sum.get(self.now, half_life) / 2.0;
             let count = ratio.count.get(self.now, half_life) / 2.0;
-            let has_space = message.servers.len() < max_servers;
-            if count > GOSSIP_MIN_SAMPLES && server.is_live() && has_space {
+            if count > GOSSIP_MIN_SAMPLES {
                 let server = server.listed.id;
                 message.servers.push(ServerObservation { server, sum, count });
                 self.add_latency_samples(index, -sum, -count);
--- a/crates/balancer/src/decide/rates.rs
+++ b/crates/balancer/src/decide/rates.rs
@@ -2,7 +2,6 @@
 
 use super::{Balancer, MS, SECOND};
 use crate::api::Nanos;
-use crate::state::ServerState;
 
 /// Mean age in seconds of what the arrival and service rates remember.
 pub(super) const RATE_MEMORY_SECONDS: f64 = 10.0;
@@ -10,6 +9,8 @@
 pub(super) const RATE_HALF_LIFE: Nanos = 6_931 * MS;
 /// Share of the arrivals that is presumed to be served where nothing has been served yet.
 const PRESUMED_SERVED_SHARE: f64 = 0.05;
+/// Capacity that is presumed at least, in units of listed size.
+const CAPACITY_MIN: f64 = 0.1;
 
 impl Balancer {
     /// Arrivals a second, over the part of the memory for which this instance has run.
@@ -35,8 +36,9 @@
 
     /// Capacity of all servers in service, in units of listed size.
     pub(super) fn capacity(&self) -> f64 {
-        let of_server = |server: &ServerState| server.listed.size * self.warmth(server);
-        let live = self.servers.iter().filter(|server| server.is_live());
-        live.map(of_server).sum::<f64>().max(0.1)
+        let totals = self.servers.capacity();
+        let warming =
+            self.warming_capacity(totals.warming_size(), totals.warming_progress(self.now));
+        (totals.warm_size() + warming).max(CAPACITY_MIN)
     }
 }
--- a/crates/balancer/src/decide/warm_up.rs
+++ b/crates/balancer/src/decide/warm_up.rs
@@ -5,6 +5,8 @@
 
 /// Part of the load that overloads a warming server which all instances may spend together.
 const WARM_UP_SAFETY: f64 = 0.6;
+/// Fraction of its capacity that a server is presumed to have at least.
+const WARMTH_MIN: f64 = 0.01;
 
 impl Balancer {
     /// Fraction of its capacity that a server has at least: the slowest warm-up allowed.
@@ -13,13 +15,19 @@
             Some(started_at) if self.settings.warm_up > 0 => {
                 let elapsed = self.now.saturating_sub(started_at) as f64;
                 let progress = elapsed / self.settings.warm_up as f64;
-                let initial = self.settings.initial_capacity;
-                (initial + (1.0 - initial) * progress).clamp(0.01, 1.0)
+                self.warming_capacity(1.0, progress).min(1.0)
             }
             _ => 1.0,
         }
     }
 
+    /// Capacity of servers of a total size that are warming up; `progress`: that size, weighted by
+    /// the part of the warm-up that is over.
+    pub(super) fn warming_capacity(&self, size: f64, progress: f64) -> f64 {
+        let initial = self.settings.initial_capacity.clamp(WARMTH_MIN, 1.0);
+        initial * size + (1.0 - initial) * progress
+    }
+
     /// Whether a request may be sent to a server: it is in service and, while it warms up, has
     /// credit left. Every send asks here.
     pub(super) fn may_send(&mut self, index: usize) -> bool {
--- /dev/null
+++ b/crates/balancer/src/state/ordered_servers.rs
@@ -0,0 +1,121 @@
+//! Servers in service in this instance's order, kept sorted as servers join and leave.
+
+use crate::api::ServerId;
+use std::collections::{BTreeSet, HashMap};
+use std::mem;
+
+/// Up to this part of the servers, changes are made one by one; more are merged in one pass.
+const MERGE_FROM_PART: usize = 16;
+
+/// The place of a server in the order: by rank, then by id.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct OrderKey {
+    pub(crate) rank: u64,
+    pub(crate) id: ServerId,
+    /// Its index in the table of servers.
+    pub(crate) index: usize,
+}
+
+/// A sorted list of servers, and the changes that have not been applied to it yet.
+#[derive(Debug, Default)]
+pub(crate) struct OrderedServers {
+    keys: Vec<OrderKey>,
+    left: BTreeSet<OrderKey>,
+    joined: BTreeSet<OrderKey>,
+}
+
+impl OrderedServers {
+    pub(crate) fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
+    /// The index of the server at a position.
+    pub(crate) fn at(&self, position: usize) -> usize {
+        self.keys[position].index
+    }
+
+    /// The indices of the servers, in order.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = usize> + '_ {
+        self.keys.iter().map(|key| key.index)
+    }
+
+    /// Notes that a server has left, until [`Self::apply_changes`].
+    pub(crate) fn leave(&mut self, key: OrderKey) {
+        if !self.joined.remove(&key) {
+            self.left.insert(key);
+        }
+    }
+
+    /// Notes that a server has joined, until [`Self::apply_changes`].
+    pub(crate) fn join(&mut self, key: OrderKey) {
+        self.joined.insert(key);
+    }
+
+    /// Applies what was noted.
+    pub(crate) fn apply_changes(&mut self) {
+        let left = mem::take(&mut self.left);
+        let joined = mem::take(&mut self.joined);
+        if MERGE_FROM_PART * (left.len() + joined.len()) < self.keys.len() {
+            left.iter().for_each(|key| self.remove(key));
+            joined.into_iter().for_each(|key| self.insert(key));
+            return;
+        }
+        self.keys.retain(|key| !left.contains(key));
+        self.keys.extend(joined);
+        // Two sorted runs: the sort merges them.
+        self.keys.sort();
+    }
+
+    fn remove(&mut self, key: &OrderKey) {
+        if let Ok(position) = self.keys.binary_search(key) {
+            self.keys.remove(position);
+        }
+    }
+
+    fn insert(&mut self, key: OrderKey) {
+        if let Err(position) = self.keys.binary_search(&key) {
+            self.keys.insert(position, key);
+        }
+    }
+}
+
+/// The servers of each group of one kind (zones or cells), each in order.
+#[derive(Debug, Default)]
+pub(crate) struct GroupedServers {
+    by_group: HashMap<u32, OrderedServers>,
+    /// Groups with changes that have not been applied yet.
+    changed: BTreeSet<u32>,
+}
+
+impl GroupedServers {
+    pub(crate) fn get(&self, group: u32) -> Option<&OrderedServers> {
+        self.by_group.get(&group)
+    }
+
+    /// Notes that a server of a group has left, until [`Self::apply_changes`].
+    pub(crate) fn leave(&mut self, group: u32, key: OrderKey) {
+        self.changed.insert(group);
+        self.by_group.entry(group).or_default().leave(key);
+    }
+
+    /// Notes that a server of a group has joined, until [`Self::apply_changes`].
+    pub(crate) fn join(&mut self, group: u32, key: OrderKey) {
+        self.changed.insert(group);
+        self.by_group.entry(group).or_default().join(key);
+    }
+
+    /// Applies what was noted.
+    pub(crate) fn apply_changes(&mut self) {
+        for group in mem::take(&mut self.changed) {
+            let Some(servers) = self.by_group.get_mut(&group) else { continue };
+            servers.apply_changes();
+            if servers.is_empty() {
+                self.by_group.remove(&group);
+            }
+        }
+    }
+}
--- a/crates/balancer/src/state/server.rs
+++ b/crates/balancer/src/state/server.rs
@@ -1,10 +1,8 @@
-//! What is known of each server, and the table of all servers.
+//! What is known of each server, and the state of the calls to discovery.
 
-use crate::api::{EndpointState, ListedServer, Nanos, Outcome, ServerId};
+use crate::api::{EndpointState, ListedServer, Nanos, Outcome};
 use crate::decay::{DecayingCounter, DecayingMean};
 use crate::server_order::ServerOrder;
-use std::collections::HashMap;
-use std::ops::{Index, IndexMut};
 
 /// What one instance knows of a server.
 #[derive(Debug, Default)]
@@ -37,6 +35,8 @@
     pub(crate) reported_queue: f64,
     pub(crate) reported_at: Nanos,
     pub(crate) probed_at: Nanos,
+    /// The last complete list that named it, by the table's count of such lists.
+    pub(crate) named_by_list: u64,
 }
 
 impl ServerState {
@@ -49,6 +49,16 @@
         self.listed.state == EndpointState::Removed
     }
 
+    /// Whether it is ejected for all classes at `now`.
+    pub(crate) fn is_ejected(&self, now: Nanos) -> bool {
+        self.ejected_until > now
+    }
+
+    /// Whether it is neither ejected nor has overdue attempts.
+    pub(crate) fn is_healthy(&self, now: Nanos) -> bool {
+        self.overdue == 0 && !self.is_ejected(now)
+    }
+
     /// Whether it is ejected for a class at `now`.
     pub(crate) fn is_ejected_for(&self, class: usize, now: Nanos) -> bool {
         self.class_ejected_until.get(class).is_some_and(|until| *until > now)
@@ -79,97 +89,6 @@
     }
 }
 
-/// All servers; they are referred to by their index in this table.
-#[derive(Debug, Default)]
-pub(crate) struct ServerTable {
-    by_id: HashMap<ServerId, usize>,
-    servers: Vec<ServerState>,
-    /// Servers that are not removed, sorted by rank.
-    pub(crate) order: Vec<usize>,
-}
-
-impl ServerTable {
-    /// Index of a server; `None` if it is not in the table.
-    pub(crate) fn index_of(&self, id: ServerId) -> Option<usize> {
-        self.by_id.get(&id).copied()
-    }
-
-    pub(crate) fn iter(&self) -> impl Iterator<Item = &ServerState> {
-        self.servers.iter()
-    }
-
-    /// Sum of the listed sizes of those servers that satisfy a condition.
-    pub(crate) fn size_of(
-        &self,
-        servers: &[usize],
-        condition: impl Fn(&ServerState) -> bool,
-    ) -> f64 {
-        let states = servers.iter().map(|index| &self.servers[*index]);
-        states.filter(|server| condition(server)).map(|server| server.listed.size).sum()
-    }
-
-    /// Servers in service, in order.
-    pub(crate) fn live(&self) -> Vec<usize> {
-        self.order.iter().copied().filter(|index| self.servers[*index].is_live()).collect()
-    }
-
-    /// Marks all servers removed, before a complete list is applied.
-    pub(crate) fn mark_all_removed(&mut self) {
-        for server in &mut self.servers {
-            server.listed.state = EndpointState::Removed;
-        }
-    }
-
-    /// Applies a new entry to a server that is in the table. `fresh` has that entry and the
-    /// state of a server of which nothing else is known; it replaces the state if the server
-    /// has restarted, except for the attempts in flight.
-    pub(crate) fn update(&mut self, fresh: ServerState) {
-        let Some(index) = self.index_of(fresh.listed.id) else { return };
-        let server = &mut self.servers[index];
-        if fresh.listed.started_at > server.listed.started_at {
-            let in_flight = server.in_flight;
-            let overdue = server.overdue;
-            *server = ServerState { in_flight, overdue, ..fresh };
-        } else {
-            server.listed = fresh.listed;
-        }
-    }
-
-    /// Adds a server whose id is not in the table. It takes the place of a removed one, if
-    /// there is any: ids are never reused, and the table would grow without bound.
-    pub(crate) fn insert(&mut self, server: ServerState) {
-        let reused = self.servers.iter().position(ServerState::is_removed);
-        self.by_id.insert(server.listed.id, reused.unwrap_or(self.servers.len()));
-        self.servers.push(server);
-        if let Some(reused) = reused {
-            let replaced = self.servers.swap_remove(reused);
-            self.by_id.remove(&replaced.listed.id);
-        }
-    }
-
-    /// Sorts the servers that are not removed by rank, then by id.
-    pub(crate) fn sort(&mut self) {
-        let servers = &self.servers;
-        self.order = (0..servers.len()).filter(|index| !servers[*index].is_removed()).collect();
-        let sort_key = |index: &usize| (servers[*index].order_rank, servers[*index].listed.id);
-        self.order.sort_by_key(sort_key);
-    }
-}
-
-impl Index<usize> for ServerTable {
-    type Output = ServerState;
-
-    fn index(&self, index: usize) -> &ServerState {
-        &self.servers[index]
-    }
-}
-
-impl IndexMut<usize> for ServerTable {
-    fn index_mut(&mut self, index: usize) -> &mut ServerState {
-        &mut self.servers[index]
-    }
-}
-
 /// The server orders of all classes: kinds of server may suit some classes and not others.
 #[derive(Debug, Default)]
 pub(crate) struct ClassOrders {
