Proxy: a request is sent only while its server takes requests; lists are read without copies

Cause: an attempt chosen before a drain was written once its connection came up, up to the connect timeout later. Entries were parsed into JSON values first and their names hashed twice; numbers of 32 bits for names could be shared by two servers; a datagram's sender was searched among all peers.

Change: endpoints know whether a server takes requests; that is checked when the connection is there (the attempt is unused, and another server is chosen) and before a connection is kept. Entries borrow from the response. discovery/server_numbers.rs gives each listed server a number of its own. Peers are found by a map. Upstream::new takes its settings as one value.

The late connection's request goes to the other server.

--- a/crates/proxy/src/cluster/peers.rs
+++ b/crates/proxy/src/cluster/peers.rs
@@ -1,5 +1,6 @@
 //! Gossip between sidecars, as datagrams.
 
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use tokio::net::UdpSocket;
@@ -12,6 +13,8 @@
 pub struct PeerGossip {
     socket: UdpSocket,
     peers: Vec<SocketAddr>,
+    /// The number of each peer, by the address that its messages come from.
+    numbers: HashMap<SocketAddr, u32>,
     broadcast: Option<SocketAddr>,
 }
 
@@ -26,7 +29,10 @@
         broadcast: Option<SocketAddr>,
     ) -> io::Result<Self> {
         let socket = UdpSocket::bind(listen).await?;
-        Ok(PeerGossip { socket, peers, broadcast })
+        // Of peers with one address the first one counts.
+        let by_address = peers.iter().enumerate().rev().map(|(number, peer)| (*peer, number as u32));
+        let numbers = by_address.collect();
+        Ok(PeerGossip { socket, peers, numbers, broadcast })
     }
 
     /// Sends a message to one peer, or to all. Messages may be lost, so one that
@@ -48,9 +54,9 @@
         loop {
             // An error here tells of an earlier datagram that was not delivered.
             let Ok((len, from)) = self.socket.recv_from(&mut buffer).await else { continue };
-            let sender = self.peers.iter().position(|peer| *peer == from);
+            let sender = self.numbers.get(&from).copied();
             if let Some(number) = sender.filter(|_| len <= MESSAGE_MAX) {
-                receive(number as u32, buffer[..len].to_vec());
+                receive(number, buffer[..len].to_vec());
             }
         }
     }
--- a/crates/proxy/src/cluster/runtime.rs
+++ b/crates/proxy/src/cluster/runtime.rs
@@ -13,11 +13,11 @@
 use super::spec::{ClusterSpec, DiscoverySpec};
 use super::state::RuntimeState;
 use crate::clock::Clock;
-use crate::endpoints::EndpointListObserver;
-use crate::upstream::pool::{ConnectionPool, Upstream};
+use crate::endpoints::{Endpoint, EndpointListObserver};
+use crate::upstream::pool::{ConnectionPool, Upstream, UpstreamSettings};
 use mintshelf_balancer::api::{
-    Action, Class, Event, ListKind, ListedServer, Nanos, Outcome, ReportMode, RequestId, ServerId,
-    Settings,
+    Action, Class, EndpointState, Event, ListKind, ListedServer, Nanos, Outcome, ReportMode,
+    RequestId, ServerId, Settings,
 };
 use mintshelf_balancer::decide::Balancer;
 use mintshelf_retry::attempts::AttemptCounts;
@@ -87,18 +87,23 @@
         let recovery = spec.recovery_ramp.map(recovery_tracker);
         let mut actions = Vec::new();
         let balancer = Balancer::new(settings.clone(), spec.seed, clock.now(), &mut actions);
+        let source = EndpointSource::new(spec.names, discovery_address);
+        let upstream = Upstream::new(
+            pool,
+            source.endpoints.clone(),
+            UpstreamSettings {
+                connect_timeout,
+                idle_timeout,
+                protocol: spec.protocol,
+                limits: spec.connection_limits,
+            },
+        );
         let runtime = Rc::new(ClusterRuntime {
             state: RefCell::new(RuntimeState::new(balancer)),
             clock,
             max_attempts: settings.max_attempts as usize,
-            source: EndpointSource::new(spec.names, discovery_address),
-            upstream: Upstream::new(
-                pool,
-                connect_timeout,
-                idle_timeout,
-                spec.protocol,
-                spec.connection_limits,
-            ),
+            source,
+            upstream,
             retries: RetryTrackers::new(spec.retry_policies, clock.now()),
             socket_load: SocketLoad::new(spec.socket_weight),
             health_checker: health_checker(&settings, &report_fields),
@@ -123,7 +128,8 @@
         let endpoints = &self.source.endpoints;
         endpoints.clear();
         for (server, address) in &servers {
-            endpoints.insert(server.id, *address);
+            let takes_requests = server.state == EndpointState::Live;
+            endpoints.insert(server.id, Endpoint { address: *address, takes_requests });
         }
         let servers = servers.into_iter().map(|(server, _)| server).collect();
         self.listed(ListKind::Full, 0, servers);
--- a/crates/proxy/src/discovery/list.rs
+++ b/crates/proxy/src/discovery/list.rs
@@ -2,18 +2,21 @@
 
 use serde::de::{DeserializeSeed, Deserializer, IgnoredAny, MapAccess, SeqAccess, Visitor};
 use serde::Deserialize;
+use serde_json::value::RawValue;
+use std::borrow::Cow;
 use std::fmt;
 use std::net::SocketAddr;
 
 /// One entry of a list. The fields are named as in the JSON.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
-pub(super) struct EndpointEntry {
-    pub(super) uid: String,
+pub(super) struct EndpointEntry<'a> {
+    #[serde(borrow)]
+    pub(super) uid: Cow<'a, str>,
     pub(super) endpoint: SocketAddr,
-    #[serde(default)]
-    pub(super) az: String,
-    #[serde(default)]
-    pub(super) model: String,
+    #[serde(default, borrow)]
+    pub(super) az: Cow<'a, str>,
+    #[serde(default, borrow)]
+    pub(super) model: Cow<'a, str>,
     #[serde(default)]
     pub(super) pod_group: u32,
     pub(super) state: EntryState,
@@ -37,21 +40,21 @@
     Deleted,
 }
 
-/// A list as far as it could be parsed.
+/// A list as far as it could be parsed; it borrows from the response.
 #[derive(Debug, Default, PartialEq)]
-pub struct EndpointList {
+pub struct EndpointList<'a> {
     /// Its revision, if that was parsed.
     pub revision: Option<u64>,
     /// Whether it has all endpoints, not only the changed ones.
     pub has_all_endpoints: bool,
     /// Whether it was parsed to its end and has a revision and entries.
     pub is_well_formed: bool,
-    pub(super) entries: Option<Vec<EndpointEntry>>,
+    pub(super) entries: Option<Vec<EndpointEntry<'a>>>,
 }
 
-impl EndpointList {
+impl<'a> EndpointList<'a> {
     /// Parses the body of a response. What precedes an error in it is kept.
-    pub fn parse(body: &[u8]) -> Self {
+    pub fn parse(body: &'a [u8]) -> Self {
         let mut list = EndpointList::default();
         let mut json = serde_json::Deserializer::from_slice(body);
         let parsed = ListSeed(&mut list).deserialize(&mut json).and_then(|()| json.end());
@@ -61,16 +64,16 @@
 }
 
 /// Parses a list in place, so that what precedes an error stays.
-struct ListSeed<'a>(&'a mut EndpointList);
+struct ListSeed<'list, 'a>(&'list mut EndpointList<'a>);
 
-impl<'de> DeserializeSeed<'de> for ListSeed<'_> {
+impl<'de> DeserializeSeed<'de> for ListSeed<'_, 'de> {
     type Value = ();
     fn deserialize<D: Deserializer<'de>>(self, json: D) -> Result<(), D::Error> {
         json.deserialize_map(self)
     }
 }
 
-impl<'de> Visitor<'de> for ListSeed<'_> {
+impl<'de> Visitor<'de> for ListSeed<'_, 'de> {
     type Value = ();
 
     fn expecting(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
@@ -78,8 +81,8 @@
     }
 
     fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<(), A::Error> {
-        while let Some(key) = map.next_key::<String>()? {
-            match key.as_str() {
+        while let Some(key) = map.next_key::<Cow<'de, str>>()? {
+            match key.as_ref() {
                 "rev" => self.0.revision = Some(map.next_value()?),
                 "all" => self.0.has_all_endpoints = map.next_value()?,
                 "targets" => {
@@ -94,16 +97,16 @@
 }
 
 /// Parses the entries in place, likewise.
-struct EntriesSeed<'a>(&'a mut Vec<EndpointEntry>);
+struct EntriesSeed<'list, 'a>(&'list mut Vec<EndpointEntry<'a>>);
 
-impl<'de> DeserializeSeed<'de> for EntriesSeed<'_> {
+impl<'de> DeserializeSeed<'de> for EntriesSeed<'_, 'de> {
     type Value = ();
     fn deserialize<D: Deserializer<'de>>(self, json: D) -> Result<(), D::Error> {
         json.deserialize_seq(self)
     }
 }
 
-impl<'de> Visitor<'de> for EntriesSeed<'_> {
+impl<'de> Visitor<'de> for EntriesSeed<'_, 'de> {
     type Value = ();
 
     fn expecting(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
@@ -112,8 +115,8 @@
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<(), A::Error> {
         // A malformed entry is left out; the others remain valid.
-        while let Some(value) = seq.next_element::<serde_json::Value>()? {
-            self.0.extend(EndpointEntry::deserialize(value).ok());
+        while let Some(text) = seq.next_element::<&'de RawValue>()? {
+            self.0.extend(serde_json::from_str(text.get()).ok());
         }
         Ok(())
     }
--- a/crates/proxy/src/discovery/mod.rs
+++ b/crates/proxy/src/discovery/mod.rs
@@ -3,6 +3,7 @@
 mod client;
 pub mod list;
 pub mod reader;
+mod server_numbers;
 
 use crate::endpoints::EndpointListObserver;
 use client::{DiscoveryClient, ReceivedBody};
@@ -144,7 +145,7 @@
 
     fn apply(
         &self,
-        list: EndpointList,
+        list: EndpointList<'_>,
         response: &ReceivedBody,
         observer: &impl EndpointListObserver,
     ) {
--- a/crates/proxy/src/discovery/reader.rs
+++ b/crates/proxy/src/discovery/reader.rs
@@ -2,8 +2,9 @@
 //! addresses, and tracks the revision.
 
 use super::list::{EndpointEntry, EndpointList, EntryState};
+use super::server_numbers::ServerNumbers;
 use crate::clock::nanos;
-use crate::endpoints::{stable_id, Endpoints};
+use crate::endpoints::{stable_id, Endpoint, Endpoints};
 use mintshelf_balancer::api::{EndpointState, ListKind, ListedServer};
 use mintshelf_config::platform::Names;
 use mintshelf_discovery::revision::{RevisionTracker, Verdict};
@@ -31,19 +32,22 @@
 #[derive(Debug)]
 pub struct EndpointListReader {
     names: Names,
-    addresses: Endpoints,
+    endpoints: Endpoints,
+    numbers: ServerNumbers,
     revision: RevisionTracker,
 }
 
 impl EndpointListReader {
-    /// A reader that knows no servers. It writes the addresses of listed servers to `addresses`.
-    pub fn new(names: Names, addresses: Endpoints) -> Self {
-        EndpointListReader { names, addresses, revision: RevisionTracker::default() }
+    /// A reader that knows no servers. It writes the addresses and states of listed servers to
+    /// `endpoints`.
+    pub fn new(names: Names, endpoints: Endpoints) -> Self {
+        let numbers = ServerNumbers::default();
+        EndpointListReader { names, endpoints, numbers, revision: RevisionTracker::default() }
     }
 
-    fn listed_server(&self, entry: &EndpointEntry) -> ListedServer {
+    fn listed_server(&mut self, entry: &EndpointEntry) -> ListedServer {
         ListedServer {
-            id: stable_id(&entry.uid),
+            id: self.numbers.assign(&entry.uid),
             zone: name_index(&self.names.zones, &entry.az),
             kind: name_index(&self.names.kinds, &entry.model),
             cell: entry.pod_group,
@@ -67,28 +71,32 @@
         let is_full = is_valid && list.has_all_endpoints;
         let entries = list.entries.filter(|_| is_valid || is_truncated).unwrap_or_default();
         if is_full {
-            self.addresses.clear();
+            self.numbers.begin_complete_list();
         }
-        for entry in &entries {
-            self.update_address(entry);
+        let servers = entries.iter().map(|entry| self.apply_entry(entry)).collect();
+        if is_full {
+            for server in self.numbers.release_unnamed() {
+                self.endpoints.remove(server);
+            }
         }
         if let Some(revision) = list.revision.filter(|_| is_valid) {
             self.revision.accept(revision);
         }
-        ListUpdate {
-            kind: if is_full { ListKind::Full } else { ListKind::Changes },
-            servers: entries.iter().map(|entry| self.listed_server(entry)).collect(),
-        }
+        ListUpdate { kind: if is_full { ListKind::Full } else { ListKind::Changes }, servers }
     }
 
-    fn update_address(&self, entry: &EndpointEntry) {
-        let server = stable_id(&entry.uid);
-        match entry.state {
-            EntryState::Deleted => self.addresses.remove(server),
-            EntryState::Serving | EntryState::Draining => {
-                self.addresses.insert(server, entry.endpoint);
-            }
+    /// Records where a server listens and whether it takes requests.
+    fn apply_entry(&mut self, entry: &EndpointEntry) -> ListedServer {
+        let server = self.listed_server(entry);
+        if server.state == EndpointState::Removed {
+            self.endpoints.remove(server.id);
+            self.numbers.release(&entry.uid);
+        } else {
+            let takes_requests = server.state == EndpointState::Live;
+            let endpoint = Endpoint { address: entry.endpoint, takes_requests };
+            self.endpoints.insert(server.id, endpoint);
         }
+        server
     }
 
     /// Applies the list that the configuration has cached; none if it is malformed.
--- a/crates/proxy/src/endpoints.rs
+++ b/crates/proxy/src/endpoints.rs
@@ -6,20 +6,36 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// Addresses of the servers that are listed now, shared by the source of the list and the
-/// cluster's runtime.
+/// What the list states of a server, as far as connections to it go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Endpoint {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whether it takes new requests; a draining one only ends those that it has.
+    pub takes_requests: bool,
+}
+
+/// The servers that are listed now, shared by the source of the list, the cluster's runtime and
+/// its connections.
 #[derive(Debug, Clone, Default)]
-pub struct Endpoints(Rc<RefCell<HashMap<ServerId, SocketAddr>>>);
+pub struct Endpoints(Rc<RefCell<HashMap<ServerId, Endpoint>>>);
 
 impl Endpoints {
     /// Where a server listens, if it is listed.
     pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
-        self.0.borrow().get(&server).copied()
+        self.0.borrow().get(&server).map(|endpoint| endpoint.address)
+    }
+
+    /// Whether a server is listed at this address and takes new requests.
+    pub fn takes_requests(&self, server: ServerId, address: SocketAddr) -> bool {
+        let endpoints = self.0.borrow();
+        let endpoint = endpoints.get(&server).filter(|endpoint| endpoint.address == address);
+        endpoint.is_some_and(|endpoint| endpoint.takes_requests)
     }
 
-    /// Lists a server, or changes its address.
-    pub fn insert(&self, server: ServerId, address: SocketAddr) {
-        self.0.borrow_mut().insert(server, address);
+    /// Lists a server, or changes what is stated of it.
+    pub fn insert(&self, server: ServerId, endpoint: Endpoint) {
+        self.0.borrow_mut().insert(server, endpoint);
     }
 
     /// Removes a server.
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -113,9 +113,9 @@
         };
         control.connected();
         // The connection may have taken so long that servers have forgotten the request's key,
-        // or that its client has disconnected.
+        // that its client has disconnected, or that the server is draining.
         let is_late = deadlines.send_by.is_some_and(|by| by <= Instant::now());
-        if is_late || control.has_client_left() {
+        if is_late || control.has_client_left() || !self.takes_requests(target) {
             self.release(connection);
             return Outcome::Unused.into();
         }
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -5,6 +5,7 @@
 use super::response::UpstreamProtocol;
 use super::write_progress::WriteProgress;
 use crate::budget::ResourceBudget;
+use crate::endpoints::Endpoints;
 use crate::headers::HEADERS_MAX;
 use crate::tcp::ObservedStream;
 use bytes::Bytes;
@@ -67,9 +68,23 @@
     pub(crate) max_idle: Option<Duration>,
 }
 
+/// What the settings say of the connections to one cluster.
+#[derive(Debug, Clone)]
+pub struct UpstreamSettings {
+    /// Longest wait for a connection.
+    pub connect_timeout: Duration,
+    /// Time after which servers close idle connections.
+    pub idle_timeout: Duration,
+    /// How servers are spoken to.
+    pub protocol: UpstreamProtocol,
+    /// How many connections there may be.
+    pub limits: ClusterLimits,
+}
+
 /// The connections to one cluster's servers.
 pub struct Upstream {
     pool: Rc<ConnectionPool>,
+    endpoints: Endpoints,
     cluster: u32,
     connect_timeout: Duration,
     idle_timeout: Duration,
@@ -84,26 +99,30 @@
 }
 
 impl Upstream {
-    /// A cluster without connections; `idle_timeout` is that of its servers.
+    /// A cluster without connections, whose servers are those of `endpoints`.
     pub fn new(
         pool: Rc<ConnectionPool>,
-        connect_timeout: Duration,
-        idle_timeout: Duration,
-        protocol: UpstreamProtocol,
-        limits: ClusterLimits,
+        endpoints: Endpoints,
+        settings: UpstreamSettings,
     ) -> Rc<Self> {
         let cluster = pool.last_cluster.get() + 1;
         pool.last_cluster.set(cluster);
         Rc::new(Upstream {
             pool,
+            endpoints,
             cluster,
-            connect_timeout,
-            idle_timeout: idle_timeout.mul_f64(IDLE_SHARE),
-            protocol,
-            counter: ConnectionCounter::new(limits),
+            connect_timeout: settings.connect_timeout,
+            idle_timeout: settings.idle_timeout.mul_f64(IDLE_SHARE),
+            protocol: settings.protocol,
+            counter: ConnectionCounter::new(settings.limits),
         })
     }
 
+    /// Whether a server still takes requests where it did when it was chosen.
+    pub(super) fn takes_requests(&self, target: Target) -> bool {
+        self.endpoints.takes_requests(target.server, target.address)
+    }
+
     /// The cluster's number, which no other cluster of the pool has had.
     pub fn cluster_number(&self) -> u32 {
         self.cluster
@@ -161,7 +180,7 @@
     /// Takes back a connection whose exchange is over, if it can carry another.
     pub(crate) fn release(&self, mut connection: UpstreamConnection) {
         let mut cx = Context::from_waker(Waker::noop());
-        if connection.is_reusable(&mut cx) {
+        if self.takes_requests(connection.target) && connection.is_reusable(&mut cx) {
             connection.idle_since = Instant::now();
             let mut idle = self.pool.idle.borrow_mut();
             idle.entry(connection.key).or_default().push_back(connection);
