--- a/crates/proxy/src/cluster/peers.rs
+++ b/crates/proxy/src/cluster/peers.rs
@@ -30,7 +30,8 @@
     ) -> io::Result<Self> {
         let socket = UdpSocket::bind(listen).await?;
         // Of peers with one address the first one counts.
-        let by_address = peers.iter().enumerate().rev().map(|(number, peer)| (*peer, number as u32));
+        let by_address =
+            peers.iter().enumerate().rev().map(|(number, peer)| (*peer, number as u32));
         let numbers = by_address.collect();
         Ok(PeerGossip { socket, peers, numbers, broadcast })
     }
