Discovery: entries are parsed in one pass, responses are copied by the block

Cause: perf of complete lists showed a quarter of the time in the copy of the body byte by byte (Vec::extend of Bytes) and the next fifth in delimiting each entry before it was parsed.

Change: blocks are copied as such; a list is parsed in one pass and entry by entry only where one of them may be malformed.

--- a/crates/proxy/src/discovery/client.rs
+++ b/crates/proxy/src/discovery/client.rs
@@ -103,7 +103,10 @@
                 Pin::new(&mut body).poll_frame(cx)
             });
             match timeout(BODY_STALL_TIMEOUT, next_frame).await {
-                Ok(Some(Ok(frame))) => received.bytes.extend(frame.into_data().unwrap_or_default()),
+                Ok(Some(Ok(frame))) => {
+                    let data = frame.into_data().unwrap_or_default();
+                    received.bytes.extend_from_slice(&data);
+                }
                 Ok(None) => {
                     received.is_complete = true;
                     return received;
--- a/crates/proxy/src/discovery/list.rs
+++ b/crates/proxy/src/discovery/list.rs
@@ -5,6 +5,7 @@
 use serde_json::value::RawValue;
 use std::borrow::Cow;
 use std::fmt;
+use std::marker::PhantomData;
 use std::net::SocketAddr;
 
 /// One entry of a list. The fields are named as in the JSON.
@@ -53,27 +54,64 @@
 }
 
 impl<'a> EndpointList<'a> {
-    /// Parses the body of a response. What precedes an error in it is kept.
+    /// Parses the body of a response. What precedes an error in it is kept, and malformed entries
+    /// are left out.
     pub fn parse(body: &'a [u8]) -> Self {
+        let list = Self::parse_entries::<EndpointEntry>(body);
+        if list.is_well_formed {
+            return list;
+        }
+        // Entries are delimited before they are parsed only where one of them may be malformed.
+        Self::parse_entries::<DoubtfulEntry>(body)
+    }
+
+    fn parse_entries<E: ListElement<'a>>(body: &'a [u8]) -> Self {
         let mut list = EndpointList::default();
         let mut json = serde_json::Deserializer::from_slice(body);
-        let parsed = ListSeed(&mut list).deserialize(&mut json).and_then(|()| json.end());
+        let seed = ListSeed { list: &mut list, element: PhantomData::<E> };
+        let parsed = seed.deserialize(&mut json).and_then(|()| json.end());
         list.is_well_formed = parsed.is_ok() && list.revision.is_some() && list.entries.is_some();
         list
     }
 }
 
+/// How an entry is parsed out of a list.
+trait ListElement<'a>: Deserialize<'a> {
+    /// The entry, if it is well formed.
+    fn entry(self) -> Option<EndpointEntry<'a>>;
+}
+
+impl<'a> ListElement<'a> for EndpointEntry<'a> {
+    fn entry(self) -> Option<EndpointEntry<'a>> {
+        Some(self)
+    }
+}
+
+/// An entry that may be malformed, although it is JSON.
+#[derive(Deserialize)]
+#[serde(transparent)]
+struct DoubtfulEntry<'a>(#[serde(borrow)] &'a RawValue);
+
+impl<'a> ListElement<'a> for DoubtfulEntry<'a> {
+    fn entry(self) -> Option<EndpointEntry<'a>> {
+        serde_json::from_str(self.0.get()).ok()
+    }
+}
+
 /// Parses a list in place, so that what precedes an error stays.
-struct ListSeed<'list, 'a>(&'list mut EndpointList<'a>);
+struct ListSeed<'list, 'a, E> {
+    list: &'list mut EndpointList<'a>,
+    element: PhantomData<E>,
+}
 
-impl<'de> DeserializeSeed<'de> for ListSeed<'_, 'de> {
+impl<'de, E: ListElement<'de>> DeserializeSeed<'de> for ListSeed<'_, 'de, E> {
     type Value = ();
     fn deserialize<D: Deserializer<'de>>(self, json: D) -> Result<(), D::Error> {
         json.deserialize_map(self)
     }
 }
 
-impl<'de> Visitor<'de> for ListSeed<'_, 'de> {
+impl<'de, E: ListElement<'de>> Visitor<'de> for ListSeed<'_, 'de, E> {
     type Value = ();
 
     fn expecting(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
@@ -83,11 +121,11 @@
     fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<(), A::Error> {
         while let Some(key) = map.next_key::<Cow<'de, str>>()? {
             match key.as_ref() {
-                "rev" => self.0.revision = Some(map.next_value()?),
-                "all" => self.0.has_all_endpoints = map.next_value()?,
+                "rev" => self.list.revision = Some(map.next_value()?),
+                "all" => self.list.has_all_endpoints = map.next_value()?,
                 "targets" => {
-                    let entries = self.0.entries.insert(Vec::new());
-                    map.next_value_seed(EntriesSeed(entries))?;
+                    let entries = self.list.entries.insert(Vec::new());
+                    map.next_value_seed(EntriesSeed { entries, element: self.element })?;
                 }
                 _ => drop(map.next_value::<IgnoredAny>()?),
             }
@@ -97,16 +135,19 @@
 }
 
 /// Parses the entries in place, likewise.
-struct EntriesSeed<'list, 'a>(&'list mut Vec<EndpointEntry<'a>>);
+struct EntriesSeed<'list, 'a, E> {
+    entries: &'list mut Vec<EndpointEntry<'a>>,
+    element: PhantomData<E>,
+}
 
-impl<'de> DeserializeSeed<'de> for EntriesSeed<'_, 'de> {
+impl<'de, E: ListElement<'de>> DeserializeSeed<'de> for EntriesSeed<'_, 'de, E> {
     type Value = ();
     fn deserialize<D: Deserializer<'de>>(self, json: D) -> Result<(), D::Error> {
         json.deserialize_seq(self)
     }
 }
 
-impl<'de> Visitor<'de> for EntriesSeed<'_, 'de> {
+impl<'de, E: ListElement<'de>> Visitor<'de> for EntriesSeed<'_, 'de, E> {
     type Value = ();
 
     fn expecting(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
@@ -114,9 +155,8 @@
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<(), A::Error> {
-        // A malformed entry is left out; the others remain valid.
-        while let Some(text) = seq.next_element::<&'de RawValue>()? {
-            self.0.extend(serde_json::from_str(text.get()).ok());
+        while let Some(element) = seq.next_element::<E>()? {
+            self.entries.extend(element.entry());
         }
         Ok(())
     }
