Proxy: a change of the list that waits to be read goes before requests that are due

Cause: tasks take turns. The one that reads the list came behind all requests that were due at that moment; with 25 times the CPU time for each (40 ms a second) a few dozen outlast the 250 ms of a drain.

Change: before a request is written, the discovery connection is asked for unread bytes; while there are some, the request's task gives way, for 100 ms at most. Its server is checked after that.

--- a/crates/mintshelf/tests/races/discovery.rs
+++ b/crates/mintshelf/tests/races/discovery.rs
@@ -1,6 +1,6 @@
 //! Lists that go quiet, come late, or are older than the one held.
 
-use crate::fixture::{ids, slow_connects, Unreached, PROGRAM};
+use crate::fixture::{ids, slow_connects, while_stopped, Unreached, PROGRAM};
 use mintshelf_test_support::{
     config, connect, ok_response, request, wait_until, Discovery, Message, Peer, Server, Sidecar,
     TEST_TIMEOUT,
@@ -309,3 +309,39 @@
         assert_eq!(ids(&sound), ["u"], "{state}");
     }
 }
+
+/// Requests that had come before a drain were sent to the drained server first, each in its turn.
+#[test]
+fn a_drain_is_read_before_the_requests_that_wait_beside_it() {
+    const CLIENTS: usize = 60;
+    let drained = Server::start(|_, _| Some(ok_response("served")));
+    let sound = Server::start(|_, _| Some(ok_response("served")));
+    let entries = || vec![drained.entry("a"), sound.entry("b")];
+    let discovery = Discovery::start(1, entries());
+    let mut config = config(discovery.at, entries());
+    config["limits"]["sockets"] = json!(512);
+    let sidecar = Sidecar::start(PROGRAM, config);
+    wait_until("the first watch", || *discovery.calls.lock().unwrap() > 0);
+    let mut clients: Vec<TcpStream> = (0..CLIENTS).map(|_| connect(sidecar.at).unwrap()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.write_all(&request("safe", &format!("before{number}"))).unwrap();
+        assert_eq!(Message::read(client).unwrap().status(), 200);
+    }
+    assert!(ids(&drained).len() > CLIENTS / 5, "both servers take requests");
+    while_stopped(&sidecar, || {
+        for (number, client) in clients.iter_mut().enumerate() {
+            client.write_all(&request("safe", &format!("beside{number}"))).unwrap();
+        }
+        let calls = *discovery.calls.lock().unwrap();
+        let mut draining = drained.entry("a");
+        draining["state"] = json!("DRAINING");
+        discovery.change(vec![draining]);
+        wait_until("the change is written", || *discovery.calls.lock().unwrap() > calls);
+        thread::sleep(Duration::from_millis(50));
+    });
+    for client in &mut clients {
+        assert_eq!(Message::read(client).unwrap().status(), 200);
+    }
+    let beside = ids(&drained).iter().filter(|id| id.starts_with("beside")).count();
+    assert_eq!(beside, 0, "requests sent to a drained server");
+}
--- a/crates/proxy/src/discovery/client.rs
+++ b/crates/proxy/src/discovery/client.rs
@@ -1,6 +1,7 @@
 //! HTTP client for the discovery service: one request at a time on one connection.
 
-use crate::tcp::{ObservedStream, TrafficObserver};
+use crate::endpoints::Endpoints;
+use crate::tcp::{ObservedStream, SharedStream, TrafficObserver};
 use bytes::Bytes;
 use http_body_util::Empty;
 use hyper::body::{Body, Incoming};
@@ -8,6 +9,7 @@
 use hyper::{header, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use mintshelf_discovery::watch::CallOutcome;
+use std::cell::RefCell;
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
@@ -59,6 +61,7 @@
 struct DiscoveryConnection {
     sender: SendRequest<Empty<Bytes>>,
     connection: Pin<Box<HttpConnection>>,
+    stream: SharedStream,
     is_open: bool,
 }
 
@@ -66,9 +69,11 @@
     async fn open(address: SocketAddr) -> Option<Self> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
-        let socket = ObservedStream::new(Rc::new(stream.into()), Rc::new(NoWatcher), Bytes::new());
+        let stream = Rc::new(RefCell::new(stream));
+        let socket = ObservedStream::new(stream.clone(), Rc::new(NoWatcher), Bytes::new());
         let (sender, connection) = handshake(TokioIo::new(socket)).await.ok()?;
-        Some(DiscoveryConnection { sender, connection: Box::pin(connection), is_open: true })
+        let connection = Box::pin(connection);
+        Some(DiscoveryConnection { sender, connection, stream, is_open: true })
     }
 
     /// Lets the connection read and write, and notes whether it has ended.
@@ -123,12 +128,14 @@
 pub struct DiscoveryClient {
     address: SocketAddr,
     connection: Option<DiscoveryConnection>,
+    /// Learns on which connection lists arrive.
+    endpoints: Endpoints,
 }
 
 impl DiscoveryClient {
     /// A client without a connection; the first request opens one.
-    pub fn new(address: SocketAddr) -> Self {
-        DiscoveryClient { address, connection: None }
+    pub fn new(address: SocketAddr, endpoints: Endpoints) -> Self {
+        DiscoveryClient { address, connection: None, endpoints }
     }
 
     /// Where it sends its requests.
@@ -178,7 +185,11 @@
         let idle = self.connection.take();
         match idle.and_then(|mut connection| connection.is_ready().then_some(connection)) {
             Some(connection) => Some(connection),
-            None => DiscoveryConnection::open(self.address).await,
+            None => {
+                let connection = DiscoveryConnection::open(self.address).await?;
+                self.endpoints.follow_lists(&connection.stream);
+                Some(connection)
+            }
         }
     }
 }
--- a/crates/proxy/src/discovery/mod.rs
+++ b/crates/proxy/src/discovery/mod.rs
@@ -63,7 +63,7 @@
     }
 
     fn connect(&self) -> DiscoveryClient {
-        DiscoveryClient::new(self.address.get())
+        DiscoveryClient::new(self.address.get(), self.reader.borrow().endpoints())
     }
 
     /// Watches until a call fails.
--- a/crates/proxy/src/discovery/reader.rs
+++ b/crates/proxy/src/discovery/reader.rs
@@ -116,6 +116,11 @@
         self.revision.evaluate(now, revision, is_valid && list.has_all_endpoints)
     }
 
+    /// Where the reader writes what is listed.
+    pub fn endpoints(&self) -> Endpoints {
+        self.endpoints.clone()
+    }
+
     /// Revision of the last valid list; 0 before the first.
     pub fn revision(&self) -> u64 {
         self.revision.current()
--- a/crates/proxy/src/endpoints.rs
+++ b/crates/proxy/src/endpoints.rs
@@ -1,10 +1,19 @@
 //! Where servers listen, and how the lists of them reach a cluster's runtime.
 
+use crate::tcp::{pending, Pending, SharedStream};
 use mintshelf_balancer::api::{ListKind, ListedServer, ServerId};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::yield_now;
+use tokio::time::Instant;
+
+/// Longest wait of a request for a change of the list to be read: well within the time that is
+/// allowed between the notification of a drain and the last request.
+const UNREAD_LIST_WAIT: Duration = Duration::from_millis(100);
 
 /// What the list states of a server, as far as connections to it go.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -18,44 +27,72 @@
 /// The servers that are listed now, shared by the source of the list, the cluster's runtime and
 /// its connections.
 #[derive(Debug, Clone, Default)]
-pub struct Endpoints(Rc<RefCell<HashMap<ServerId, Endpoint>>>);
+pub struct Endpoints(Rc<SharedEndpoints>);
+
+#[derive(Debug, Default)]
+struct SharedEndpoints {
+    by_server: RefCell<HashMap<ServerId, Endpoint>>,
+    /// The connection on which changes of the list arrive, while there is one.
+    list_stream: RefCell<Weak<RefCell<TcpStream>>>,
+}
 
 impl Endpoints {
     /// Where a server listens, if it is listed.
     pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
-        self.0.borrow().get(&server).map(|endpoint| endpoint.address)
+        self.0.by_server.borrow().get(&server).map(|endpoint| endpoint.address)
     }
 
     /// Whether a server is listed at this address and takes new requests.
     pub fn takes_requests(&self, server: ServerId, address: SocketAddr) -> bool {
-        let endpoints = self.0.borrow();
+        let endpoints = self.0.by_server.borrow();
         let endpoint = endpoints.get(&server).filter(|endpoint| endpoint.address == address);
         endpoint.is_some_and(|endpoint| endpoint.takes_requests)
     }
 
     /// Lists a server, or changes what is stated of it.
     pub fn insert(&self, server: ServerId, endpoint: Endpoint) {
-        self.0.borrow_mut().insert(server, endpoint);
+        self.0.by_server.borrow_mut().insert(server, endpoint);
     }
 
     /// Removes a server.
     pub fn remove(&self, server: ServerId) {
-        self.0.borrow_mut().remove(&server);
+        self.0.by_server.borrow_mut().remove(&server);
     }
 
     /// Removes all servers.
     pub fn clear(&self) {
-        self.0.borrow_mut().clear();
+        self.0.by_server.borrow_mut().clear();
+    }
+
+    /// Sets the connection on which changes of the list arrive.
+    pub fn follow_lists(&self, stream: &SharedStream) {
+        *self.0.list_stream.borrow_mut() = Rc::downgrade(stream);
+    }
+
+    /// Waits until no change of the list waits to be read, at most for [`UNREAD_LIST_WAIT`].
+    ///
+    /// Tasks take turns. Where many requests are due at once, the one that reads the list comes
+    /// behind them, and they would be sent to servers that are known to drain.
+    pub async fn list_is_read(&self) {
+        let started_at = Instant::now();
+        while self.has_unread_list() && started_at.elapsed() < UNREAD_LIST_WAIT {
+            yield_now().await;
+        }
+    }
+
+    fn has_unread_list(&self) -> bool {
+        let stream = self.0.list_stream.borrow().upgrade();
+        stream.is_some_and(|stream| pending(&stream) == Pending::Bytes)
     }
 
     /// How many servers are listed.
     pub fn len(&self) -> usize {
-        self.0.borrow().len()
+        self.0.by_server.borrow().len()
     }
 
     /// Whether no server is listed.
     pub fn is_empty(&self) -> bool {
-        self.0.borrow().is_empty()
+        self.0.by_server.borrow().is_empty()
     }
 }
 
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -118,6 +118,11 @@
         })
     }
 
+    /// Waits until no change of the list of servers waits to be read.
+    pub(super) async fn list_is_read(&self) {
+        self.endpoints.list_is_read().await;
+    }
+
     /// Whether a server still takes requests where it did when it was chosen.
     pub(super) fn takes_requests(&self, target: Target) -> bool {
         self.endpoints.takes_requests(target.server, target.address)
