Diagnosis: events of requests, attempts, lists and closes with their reasons, off by default

Change: with MINTSHELF_LOG set the platform's sidecar writes a log (as the daemon does); at level debug it has each request with its transaction id, each attempt with server and outcome, each list with its entries and the time of its turn, each close of a client connection with its reason. The balancer says why it ends a request (EndReason). Without the variable nothing is formatted. A property test holds the balancer's sums against sums made anew.

Measured: the property test found that a server that had warmed up and came back into service counted over its size until the next event (1.00008 for 1); sums now know the time. Balancer's large-fleet tests take CPU time from the thread's clock, as schedstat of a running thread stands still between ticks.

--- a/crates/balancer/src/api/action.rs
+++ b/crates/balancer/src/api/action.rs
@@ -2,6 +2,22 @@
 
 use super::{Nanos, RequestId, ServerId};
 
+/// Why the balancer ended a request that no server has answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndReason {
+    /// It would occupy a server in vain: its client leaves before a response can come.
+    Futile,
+    /// A share of the requests is rejected on arrival, as servers are overloaded or its tenant is
+    /// past its quota.
+    Overload,
+    /// It would wait for too long at the server that it would go to.
+    LongQueue,
+    /// No server could take it in time, or it may not be attempted again.
+    NoServer,
+    /// Its attempt failed, and retries are exhausted or of no use.
+    NoRetry,
+}
+
 /// An output of the balancer, to be carried out by the sidecar.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -27,11 +43,15 @@
         id: RequestId,
         /// Delay after which the client should retry; 0 for no advice.
         retry_after: Nanos,
+        /// Why.
+        reason: EndReason,
     },
     /// End a request as failed; it may or may not have run.
     Fail {
         /// The request.
         id: RequestId,
+        /// Why.
+        reason: EndReason,
     },
     /// Report [`Event::Timer`](super::Event::Timer) later.
     SetTimer {
--- a/crates/balancer/src/api/mod.rs
+++ b/crates/balancer/src/api/mod.rs
@@ -8,7 +8,7 @@
 mod event;
 mod settings;
 
-pub use action::Action;
+pub use action::{Action, EndReason};
 pub use class::{Backoff, Class, Effect, Group};
 pub use endpoint::{EndpointState, ListKind, ListedServer};
 pub use event::{Event, Outcome};
--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -10,6 +10,15 @@
 use std::collections::HashMap;
 use std::mem;
 
+/// What is in service, as one instance knows it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ServiceSummary {
+    /// Number of servers.
+    pub servers: usize,
+    /// Their capacity in units of listed size, less what those that are warming up lack.
+    pub capacity: f64,
+}
+
 /// The balancer of one instance.
 ///
 /// # Examples
@@ -92,6 +101,12 @@
         self.retry_budget.covers(1.0)
     }
 
+    /// The servers in service and their capacity.
+    #[must_use]
+    pub fn service_summary(&self) -> ServiceSummary {
+        ServiceSummary { servers: self.servers.in_service().len(), capacity: self.capacity() }
+    }
+
     /// Attempts in flight at a server; none if it is not listed.
     #[must_use]
     pub fn in_flight(&self, server: ServerId) -> Option<u32> {
--- a/crates/balancer/src/decide/attempt_end.rs
+++ b/crates/balancer/src/decide/attempt_end.rs
@@ -2,7 +2,7 @@
 
 use super::rates::RATE_HALF_LIFE;
 use super::{health, Balancer};
-use crate::api::{Effect, Nanos, Outcome, RequestId};
+use crate::api::{Effect, EndReason, Nanos, Outcome, RequestId};
 use crate::state::{AttemptEnd, AttemptRecord, LatencySample, Timer};
 
 /// Weight of an attempt in the baseline share of failures.
@@ -85,7 +85,7 @@
                 after => self.set_request_timer(after, id, Timer::HoldExpired(id.clone())),
             }
         } else if !self.requests[id].has_attempt_in_flight() {
-            self.end(id);
+            self.end(id, EndReason::NoRetry);
         }
     }
 
--- a/crates/balancer/src/decide/attempts.rs
+++ b/crates/balancer/src/decide/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::rates::RATE_HALF_LIFE;
 use super::{admission, load_reports, Balancer, MS};
-use crate::api::{Action, Effect, Group, Nanos, RequestId};
+use crate::api::{Action, Effect, EndReason, Group, Nanos, RequestId};
 use crate::server_order::{AdjacentPair, Candidates};
 use crate::state::{PermittedActions, Request, Timer};
 
@@ -34,8 +34,10 @@
         let is_futile = self.is_futile(&request);
         self.requests.insert(id.clone(), request);
         let probability = self.reject_probability(class, tenant);
-        if is_futile || self.rng.draw() < probability {
-            self.end(&id);
+        if is_futile {
+            self.end(&id, EndReason::Futile);
+        } else if self.rng.draw() < probability {
+            self.end(&id, EndReason::Overload);
         } else {
             self.advance(&id);
         }
@@ -83,7 +85,7 @@
             // A list or credit may come, but the hold has an end.
             self.set_request_timer(HOLD_STEP, id, Timer::HoldExpired(id.clone()));
         } else {
-            self.end(id);
+            self.end(id, EndReason::NoServer);
         }
     }
 
@@ -145,7 +147,7 @@
     }
 
     /// Ends a request that has not been answered yet.
-    pub(super) fn end(&mut self, id: &RequestId) {
+    pub(super) fn end(&mut self, id: &RequestId, reason: EndReason) {
         let Some(request) = self.requests.get(id).filter(|open| !open.is_finished) else { return };
         // In overload a repeat that comes at once meets the same queue.
         let is_overloaded = self.overload.reject_level > admission::REJECT_DEADBAND;
@@ -154,8 +156,8 @@
         // A client that returns after the deduplication window would have the request run twice.
         let may_reject = self.permitted_actions(self.now + retry_after, request).may_reject;
         self.actions.push(match may_reject {
-            true => Action::Reject { id: id.clone(), retry_after },
-            false => Action::Fail { id: id.clone() },
+            true => Action::Reject { id: id.clone(), retry_after, reason },
+            false => Action::Fail { id: id.clone(), reason },
         });
         self.close(id);
     }
--- a/crates/balancer/src/decide/load_reports.rs
+++ b/crates/balancer/src/decide/load_reports.rs
@@ -1,7 +1,7 @@
 //! Load reports: when to probe for them, and how a pair is chosen by them.
 
 use super::{health, Balancer, MS, SECOND};
-use crate::api::{Action, Nanos, ReportField, RequestId, ServerId};
+use crate::api::{Action, EndReason, Nanos, ReportField, RequestId, ServerId};
 use crate::server_order::{AdjacentPair, ServerOrder};
 use crate::state::ProbeResult;
 
@@ -118,7 +118,7 @@
         let max_wait = self.max_wait();
         let is_too_long = chosen.is_some_and(|index| self.expected_wait(index) > max_wait);
         match chosen {
-            Some(_) if is_too_long && is_first => self.end(id),
+            Some(_) if is_too_long && is_first => self.end(id, EndReason::LongQueue),
             Some(index) if permitted.may_send => self.send(id, index),
             _ => self.advance(id),
         }
--- a/crates/balancer/src/decide/mod.rs
+++ b/crates/balancer/src/decide/mod.rs
@@ -18,7 +18,7 @@
 mod speed;
 mod warm_up;
 
-pub use crate::balancer::Balancer;
+pub use crate::balancer::{Balancer, ServiceSummary};
 pub use crate::server_order::{AdjacentPair, Candidates, ServerOrder};
 
 const MS: Nanos = 1_000_000;
--- a/crates/balancer/src/decide/rates.rs
+++ b/crates/balancer/src/decide/rates.rs
@@ -35,7 +35,7 @@
     }
 
     /// Capacity of all servers in service, in units of listed size.
-    pub(super) fn capacity(&self) -> f64 {
+    pub(crate) fn capacity(&self) -> f64 {
         let totals = self.servers.capacity();
         let warming =
             self.warming_capacity(totals.warming_size(), totals.warming_progress(self.now));
--- a/crates/balancer/src/state/capacity.rs
+++ b/crates/balancer/src/state/capacity.rs
@@ -34,6 +34,8 @@
 pub(crate) struct CapacityTotals {
     /// Moment from which ages are counted, so that they keep their precision.
     origin: Nanos,
+    /// The moment that the sums have been brought up to.
+    now: Nanos,
     warm_up: Nanos,
     warm_size: f64,
     warm_count: usize,
@@ -47,7 +49,7 @@
 impl CapacityTotals {
     /// No servers; each takes `warm_up` to warm up.
     pub(crate) fn new(origin: Nanos, warm_up: Nanos) -> Self {
-        CapacityTotals { origin, warm_up, ..CapacityTotals::default() }
+        CapacityTotals { origin, now: origin, warm_up, ..CapacityTotals::default() }
     }
 
     /// Sum of the listed sizes.
@@ -77,7 +79,7 @@
     /// Counts a server.
     pub(crate) fn add(&mut self, server: CountedServer) {
         let size = server.counted_size();
-        match server.started_at {
+        match server.started_at.filter(|started_at| !self.is_warm(*started_at)) {
             None => self.add_warm(size),
             Some(started_at) => {
                 self.warming.insert((started_at, server.index), size);
@@ -100,8 +102,9 @@
 
     /// Counts those whose warm-up is over at `now` as warm.
     pub(crate) fn advance(&mut self, now: Nanos) {
+        self.now = now;
         while let Some((&(started_at, index), &size)) = self.warming.first_key_value() {
-            if now.saturating_sub(started_at) < self.warm_up {
+            if !self.is_warm(started_at) {
                 return;
             }
             self.remove_warming(started_at, index);
@@ -109,6 +112,11 @@
         }
     }
 
+    /// Whether the warm-up of a server that started then is over.
+    fn is_warm(&self, started_at: Nanos) -> bool {
+        self.now.saturating_sub(started_at) >= self.warm_up
+    }
+
     fn add_warm(&mut self, size: f64) {
         self.warm_count += 1;
         self.warm_size += size;
--- a/crates/balancer/tests/generated_events.rs
+++ b/crates/balancer/tests/generated_events.rs
@@ -123,7 +123,7 @@
             Action::SetTimer { after, token } => self.timers.push((self.now + after, token)),
             Action::Send { id, server, .. } => self.check_send(&id, server),
             Action::Reject { id, .. } => self.check_rejection(&id),
-            Action::Fail { id } => {
+            Action::Fail { id, .. } => {
                 let request = self.find(&id);
                 assert!(!request.is_answered, "answered twice");
                 request.is_answered = true;
--- a/crates/balancer/tests/large_fleets.rs
+++ b/crates/balancer/tests/large_fleets.rs
@@ -7,7 +7,9 @@
 use mintshelf_balancer::api::{
     EndpointState, ListKind, ListedServer, Nanos, Outcome, ServerId, Settings,
 };
-use std::collections::HashMap;
+use proptest::prelude::{any, prop, prop_assert, prop_assert_eq, proptest};
+use rustix::time::{clock_gettime, ClockId};
+use std::collections::{HashMap, HashSet};
 
 /// Servers of a usual fleet, and of the largest one.
 const USUAL: u32 = 200;
@@ -15,15 +17,15 @@
 /// Measurements of each fleet; the least of them counts, since other processes only add to one.
 const ROUNDS: usize = 5;
 /// Requests, or changes of the list, in one measurement.
-const STEPS: u64 = 100;
+const STEPS: u64 = 200;
 /// Highest cost at the large fleet, in multiples of that at the usual one. Caches hold less of a
 /// larger table; work that grew with it would cost sixteen times as much.
 const MAX_RATIO: f64 = 3.0;
 
 /// CPU time of this thread in nanoseconds.
 fn thread_cpu_ns() -> u64 {
-    let schedstat = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap();
-    schedstat.split(' ').next().unwrap().parse().unwrap()
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    time.tv_sec as u64 * SECOND + time.tv_nsec as u64
 }
 
 /// CPU time of a closure in nanoseconds.
@@ -163,3 +165,98 @@
     assert_eq!(instance.balancer.in_flight(2), None, "it is no longer listed");
     assert_eq!(instance.balancer.in_flight(3), Some(0));
 }
+
+/// What the list states of one server, and when the balancer takes it to have started.
+#[derive(Debug, Clone, Copy)]
+struct ModelServer {
+    state: EndpointState,
+    listed_start: Nanos,
+    started_at: Option<Nanos>,
+}
+
+impl ModelServer {
+    fn capacity(&self, now: Nanos, settings: &Settings) -> f64 {
+        let elapsed = |started_at: Nanos| now.saturating_sub(started_at) as f64;
+        let progress = self.started_at.map_or(1.0, |at| elapsed(at) / settings.warm_up as f64);
+        let initial = settings.initial_capacity;
+        (initial + (1.0 - initial) * progress).min(1.0)
+    }
+}
+
+/// The fleet as the lists state it, summed anew each time.
+#[derive(Default)]
+struct Model(HashMap<ServerId, ModelServer>);
+
+impl Model {
+    fn apply(&mut self, now: Nanos, kind: ListKind, entries: &[ListedServer], warm_up: Nanos) {
+        let is_first = self.0.values().all(|server| server.state == EndpointState::Removed);
+        if kind == ListKind::Full {
+            let is_named = |id: &ServerId| entries.iter().any(|entry| entry.id == *id);
+            let unnamed = self.0.iter_mut().filter(|(id, _)| !is_named(id));
+            unnamed.for_each(|(_, server)| server.state = EndpointState::Removed);
+        }
+        for entry in entries {
+            let is_recent = entry.started_at > 0 && now - entry.started_at < warm_up;
+            let recent = Some(entry.started_at).filter(|_| is_recent);
+            match self.0.get_mut(&entry.id) {
+                Some(known) if entry.started_at <= known.listed_start => known.state = entry.state,
+                Some(known) => known.started_at = recent,
+                None if entry.state == EndpointState::Removed => continue,
+                None => {
+                    let is_added = !is_first && entry.started_at == 0;
+                    let started_at = recent.or(is_added.then_some(now));
+                    let listed_start = entry.started_at;
+                    let server = ModelServer { state: entry.state, listed_start, started_at };
+                    self.0.insert(entry.id, server);
+                }
+            }
+            let known = self.0.get_mut(&entry.id).unwrap();
+            known.state = entry.state;
+            known.listed_start = entry.started_at;
+        }
+    }
+}
+
+proptest! {
+    /// What is kept up to date by changes is what a sum over all servers gives.
+    #[test]
+    fn the_sums_that_are_kept_are_those_of_all_servers(
+        updates in prop::collection::vec(
+            (any::<bool>(), prop::collection::vec((1u32..200, 0u8..6, 0u64..4), 0..60), 1u64..4_000),
+            1..30,
+        ),
+    ) {
+        let settings = settings();
+        let mut instance = TestBalancer::new(settings.clone()).0;
+        let mut model = Model::default();
+        let mut gone = HashSet::new();
+        let mut now = 20 * SECOND;
+        for (is_full, changed, elapsed_ms) in updates {
+            now += elapsed_ms * MS;
+            let mut entries: Vec<ListedServer> = Vec::new();
+            for (id, state, age) in changed {
+                let state = match state {
+                    0 => EndpointState::Draining,
+                    1 if !is_full => EndpointState::Removed,
+                    _ => EndpointState::Live,
+                };
+                let started_at = if age == 0 { 0 } else { now - age * 3 * SECOND };
+                // What was removed may have been forgotten or not: it does not come back here.
+                if !gone.contains(&id) && entries.iter().all(|entry| entry.id != id) {
+                    entries.push(ListedServer { state, started_at, ..server(id) });
+                }
+            }
+            let kind = if is_full { ListKind::Full } else { ListKind::Changes };
+            instance.handle(now, list(kind, entries.clone()));
+            model.apply(now, kind, &entries, settings.warm_up);
+            let removed = model.0.iter().filter(|(_, known)| known.state == EndpointState::Removed);
+            gone.extend(removed.map(|(id, _)| *id));
+            let live = model.0.values().filter(|server| server.state == EndpointState::Live);
+            let capacity: f64 = live.clone().map(|server| server.capacity(now, &settings)).sum();
+            let summary = instance.balancer.service_summary();
+            prop_assert_eq!(summary.servers, live.count());
+            prop_assert!((summary.capacity - capacity.max(0.1)).abs() < 1e-6,
+                "{} and {capacity}", summary.capacity);
+        }
+    }
+}
--- a/crates/fleet-simulator/src/sidecar/mod.rs
+++ b/crates/fleet-simulator/src/sidecar/mod.rs
@@ -299,8 +299,8 @@
                 Action::Cancel { id, attempt } => {
                     self.actions.push(SidecarAction::Cancel { id, attempt });
                 }
-                Action::Reject { id, retry_after } => self.reject(now, &id, retry_after),
-                Action::Fail { id } => self.conclude(&id, Reply::Failed),
+                Action::Reject { id, retry_after, .. } => self.reject(now, &id, retry_after),
+                Action::Fail { id, .. } => self.conclude(&id, Reply::Failed),
                 Action::SetTimer { after, token } => {
                     self.actions.push(SidecarAction::SetTimer { at: now + after, token });
                 }
--- a/crates/mintshelf/src/log.rs
+++ b/crates/mintshelf/src/log.rs
@@ -15,6 +15,11 @@
     source: ParseError,
 }
 
+/// Whether the environment asks for a log. The platform's sidecar writes none unless it does.
+pub fn is_requested() -> bool {
+    env::var_os(LEVELS_VARIABLE).is_some()
+}
+
 /// Starts the log, with lines as text or as JSON.
 ///
 /// # Errors
--- a/crates/mintshelf/src/platform.rs
+++ b/crates/mintshelf/src/platform.rs
@@ -1,5 +1,6 @@
 //! The platform's sidecar: configured by `RELAY_CONFIG`, with its endpoints from discovery.
 
+use crate::log::{self, LevelsError};
 use mintshelf_config::platform::{ConfigError, PlatformConfig};
 use mintshelf_proxy::budget::ResourceBudget;
 use mintshelf_proxy::client::connection::ClientTimeouts;
@@ -43,6 +44,9 @@
     /// The environment variable is not set.
     #[error("environment: {}: is not set", CONFIG_VARIABLE)]
     NoConfig,
+    /// The log levels cannot be parsed.
+    #[error("environment: {0}")]
+    Levels(#[from] LevelsError),
     /// The configuration cannot be read.
     #[error(transparent)]
     Config(#[from] ConfigError),
@@ -113,6 +117,9 @@
 /// # Errors
 /// The sidecar cannot start.
 pub async fn run() -> Result<(), PlatformError> {
+    if log::is_requested() {
+        log::start(false)?;
+    }
     let file = std::env::var_os(CONFIG_VARIABLE).ok_or(PlatformError::NoConfig)?;
     let file = PathBuf::from(file);
     let config = PlatformConfig::read(&file)?;
--- a/crates/proxy/src/client/closing.rs
+++ b/crates/proxy/src/client/closing.rs
@@ -25,20 +25,41 @@
     Immediate,
 }
 
+/// Why a connection is closed from this side.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CloseReason {
+    /// It was idle, or a request or the reading of a response took too long.
+    TimedOut,
+    /// It made room for another one.
+    Evicted,
+    /// The process shuts down, and it was idle.
+    ShutDown,
+    /// Its client reset it.
+    ResetByClient,
+    /// A request could not be read.
+    MalformedRequest,
+    /// Its client ended it, or a response announced its end.
+    Ended,
+}
+
 /// Waits until a connection is dead, evicted, or idle during the shutdown; how it is to be
 /// closed. What a client sends in that very moment would be met by a reset, and take
 /// a response with it that the client has not read yet: so bytes that wait are read first.
-pub(super) async fn close_due(client: &Client, draining: &CancellationToken) -> CloseMode {
-    tokio::select! {
-        () = timed_out(client) => {}
-        () = evicted(client) => {}
-        () = shut_down(client, draining) => {}
-    }
-    match client.phase() {
+pub(super) async fn close_due(
+    client: &Client,
+    draining: &CancellationToken,
+) -> (CloseMode, CloseReason) {
+    let reason = tokio::select! {
+        () = timed_out(client) => CloseReason::TimedOut,
+        () = evicted(client) => CloseReason::Evicted,
+        () = shut_down(client, draining) => CloseReason::ShutDown,
+    };
+    let mode = match client.phase() {
         // Its request has no response, or its response is not read, and never will be.
         Phase::Busy => CloseMode::Immediate,
         _ => CloseMode::Graceful,
-    }
+    };
+    (mode, reason)
 }
 
 async fn timed_out(client: &Client) {
--- a/crates/proxy/src/client/serve.rs
+++ b/crates/proxy/src/client/serve.rs
@@ -1,7 +1,7 @@
 //! One client's connection from its accept to its end.
 
 use super::accept_queue::AcceptedConnection;
-use super::closing::{close_due, read_deadline, reset_by_client, CloseMode};
+use super::closing::{close_due, read_deadline, reset_by_client, CloseMode, CloseReason};
 use super::connection::{Client, Phase};
 use super::handler::{ClientRequest, RequestHandler, ResponseBody, TrackedBody};
 use super::listener::ClientListener;
@@ -20,6 +20,7 @@
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::sleep_until;
+use tracing::debug;
 
 /// Largest head of a request, and the most that the library buffers each way, in bytes.
 const BUFFER_MAX: usize = 32 << 10;
@@ -28,7 +29,10 @@
 enum NextStep {
     /// It is served further; these bytes were read past the last response.
     ServeAgain(Bytes),
-    Close(CloseMode),
+    Close {
+        mode: CloseMode,
+        reason: CloseReason,
+    },
     /// It speaks another protocol now; these bytes were read past the 101.
     Upgrade(Bytes),
 }
@@ -54,9 +58,11 @@
             // In a box: a WebSocket that follows lives long, and has no use for its memory.
             match Box::pin(self.serve_requests(&stream, &client, read_ahead)).await {
                 NextStep::ServeAgain(bytes) => read_ahead = bytes,
-                NextStep::Close(CloseMode::Immediate) => break,
-                NextStep::Close(CloseMode::Graceful) => {
-                    close(&stream, &client).await;
+                NextStep::Close { mode, reason } => {
+                    debug!(peer = %client.peer, ?mode, ?reason, "client connection closes");
+                    if mode == CloseMode::Graceful {
+                        close(&stream, &client).await;
+                    }
                     break;
                 }
                 NextStep::Upgrade(bytes) => {
@@ -87,15 +93,20 @@
         let result = tokio::select! {
             biased;
             result = poll_fn(|cx| connection.poll_without_shutdown(cx)) => result,
-            mode = close_due(client, &self.draining) => return NextStep::Close(mode),
+            (mode, reason) = close_due(client, &self.draining) => {
+                return NextStep::Close { mode, reason };
+            }
             () = reset_by_client(stream, client, self.timeouts.allows_half_close) => {
-                return NextStep::Close(CloseMode::Immediate);
+                let reason = CloseReason::ResetByClient;
+                return NextStep::Close { mode: CloseMode::Immediate, reason };
             }
         };
         match result {
             Ok(()) => self.next_step(connection.into_parts().read_buf, stream, client),
             // A malformed request has had its response, 400.
-            Err(_) => NextStep::Close(CloseMode::Graceful),
+            Err(_) => {
+                NextStep::Close { mode: CloseMode::Graceful, reason: CloseReason::MalformedRequest }
+            }
         }
     }
 
@@ -109,7 +120,7 @@
         if has_more && self.draining.is_cancelled() {
             NextStep::ServeAgain(read_ahead)
         } else {
-            NextStep::Close(CloseMode::Graceful)
+            NextStep::Close { mode: CloseMode::Graceful, reason: CloseReason::Ended }
         }
     }
 
--- a/crates/proxy/src/cluster/attempt.rs
+++ b/crates/proxy/src/cluster/attempt.rs
@@ -5,6 +5,7 @@
 use super::request::RequestOutcome;
 use super::runtime::ClusterRuntime;
 use super::state::RuntimeState;
+use super::trace;
 use crate::headers::parse_load_report;
 use crate::upstream::attempt_control::AttemptControl;
 use crate::upstream::connection::Target;
@@ -60,6 +61,7 @@
         let message = self.message(request, id, number);
         let deadlines = self.deadlines(request.class, end_at, send_by);
         let target = self.source.target(server);
+        trace::attempt_began(id, number, server, target.map(|target| target.address));
         response.start(Box::pin(attempt.run(target, message, deadlines, control)));
     }
 
--- a/crates/proxy/src/cluster/attempt_observer.rs
+++ b/crates/proxy/src/cluster/attempt_observer.rs
@@ -5,9 +5,9 @@
 use crate::clock::Clock;
 use crate::endpoints::Endpoints;
 use crate::request_log::RequestLog;
-use mintshelf_balancer::api::{Outcome, ServerId};
+use mintshelf_balancer::api::{Outcome, RequestId, ServerId};
 use std::cell::RefCell;
-use tracing::Level;
+use tracing::{debug, Level};
 
 type SuspicionCallback = Box<dyn Fn(ServerId)>;
 
@@ -40,11 +40,20 @@
     /// Reports how an attempt ended.
     pub(crate) fn attempt_ended(
         &self,
+        id: &RequestId,
         number: u32,
         outcome: Outcome,
         ended: &EndedAttempt,
         endpoints: &Endpoints,
     ) {
+        debug!(
+            request = %id,
+            attempt = number + 1,
+            server = ended.server,
+            ?outcome,
+            took_us = ended.took / 1_000,
+            "attempt concluded"
+        );
         self.log_fault(number, outcome, ended, endpoints);
         if matches!(outcome, Outcome::Reset | Outcome::ConnectFailed | Outcome::TimedOut) {
             if let Some(callback) = &*self.on_suspicion.borrow() {
--- a/crates/proxy/src/cluster/mod.rs
+++ b/crates/proxy/src/cluster/mod.rs
@@ -17,3 +17,4 @@
 pub mod spec;
 mod state;
 mod timers;
+mod trace;
--- a/crates/proxy/src/cluster/runtime.rs
+++ b/crates/proxy/src/cluster/runtime.rs
@@ -12,6 +12,7 @@
 use super::socket_load::SocketLoad;
 use super::spec::{ClusterSpec, DiscoverySpec};
 use super::state::RuntimeState;
+use super::trace::{self, ListChanges};
 use crate::clock::Clock;
 use crate::endpoints::{Endpoint, EndpointListObserver};
 use crate::upstream::pool::{ConnectionPool, Upstream, UpstreamSettings};
@@ -28,6 +29,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 /// How often idle connections that are dead are looked for.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -254,8 +256,12 @@
                     self.start_attempt(state, &id, server, timeout_at);
                 }
                 Action::Cancel { id, attempt } => cancel_attempt(state, &id, attempt),
-                Action::Reject { id, retry_after } => state.reject(&id, retry_after),
-                Action::Fail { id } => {
+                Action::Reject { id, retry_after, reason } => {
+                    trace::request_ended(&id, state.requests.get(&id), reason);
+                    state.reject(&id, retry_after);
+                }
+                Action::Fail { id, reason } => {
+                    trace::request_ended(&id, state.requests.get(&id), reason);
                     let outcome = RequestOutcome::Failed { timed_out: false };
                     drop(state.requests.conclude(&id, outcome));
                 }
@@ -302,7 +308,7 @@
             if outcome.answered() {
                 self.retries.responded(ended.class, now, ended.took);
             }
-            self.observer.attempt_ended(number, outcome, &ended, &self.source.endpoints);
+            self.observer.attempt_ended(id, number, outcome, &ended, &self.source.endpoints);
             if let Some(recovery) = &self.recovery {
                 recovery.attempt_ended(now, outcome, ended.is_in_time);
             }
@@ -331,6 +337,10 @@
 
 impl EndpointListObserver for Rc<ClusterRuntime> {
     fn listed(&self, kind: ListKind, version: u64, servers: Vec<ListedServer>) {
+        let changes = ListChanges::count(&servers);
+        let started_at = Instant::now();
         self.post(Event::Servers { kind, version, entries: servers.into() });
+        trace::list_applied(kind, version, changes, started_at.elapsed());
+        trace::in_service(&self.state.borrow().balancer);
     }
 }
--- a/crates/proxy/src/cluster/serve.rs
+++ b/crates/proxy/src/cluster/serve.rs
@@ -4,8 +4,11 @@
 use super::pending_response::{AttemptSet, PendingResponse};
 use super::request::{RequestMetadata, RequestOutcome, UpstreamRequest};
 use super::runtime::ClusterRuntime;
+use super::trace;
 use mintshelf_balancer::api::{Event, Nanos, RequestId};
 use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
 
 impl ClusterRuntime {
     /// Hands a client's request to the module and waits for the final outcome.
@@ -42,8 +45,11 @@
         let response = Rc::new(PendingResponse::default());
         let id = self.open_request(now, metadata, request, response.clone())?;
         let attempts = AttemptSet::new(response);
-        let mut waiting = WaitingClient { runtime: self, id, attempts };
-        Some(waiting.attempts.response().await)
+        let started_at = Instant::now();
+        let mut waiting = WaitingClient { runtime: self, id, attempts, started_at };
+        let outcome = waiting.attempts.response().await;
+        trace::request_concluded(&waiting.id, Some(&outcome), started_at.elapsed());
+        Some(outcome)
     }
 
     /// Records a request and hands it to the module; none if its id is that of an open one.
@@ -64,6 +70,9 @@
         let settings = self.classes.get(class);
         let pending = PendingRequest::new(request, class, settings, deadline, response);
         let id = state.requests.insert(pending);
+        if let Some(pending) = state.requests.get(&id) {
+            trace::request_began(&id, pending, Duration::from_nanos(metadata.client_timeout));
+        }
         state.events.push_back(Event::Request {
             id: id.clone(),
             class: metadata.class,
@@ -84,6 +93,7 @@
     runtime: &'a Rc<ClusterRuntime>,
     id: RequestId,
     attempts: AttemptSet<RequestOutcome>,
+    started_at: Instant,
 }
 
 impl Drop for WaitingClient<'_> {
@@ -91,6 +101,7 @@
         self.attempts.detach();
         let mut state = self.runtime.state.borrow_mut();
         if state.client_disconnected(&self.id) {
+            trace::request_concluded(&self.id, None, self.started_at.elapsed());
             self.runtime.turn(&mut state);
         }
     }
--- /dev/null
+++ b/crates/proxy/src/cluster/trace.rs
@@ -0,0 +1,117 @@
+//! Events at level DEBUG of single requests, attempts and lists, for diagnosis: which request,
+//! which attempt at which server, and why it ended as it did.
+//!
+//! Nothing is formatted unless a subscriber takes them.
+
+use super::pending_requests::PendingRequest;
+use super::request::RequestOutcome;
+use hyper::header::HeaderValue;
+use mintshelf_balancer::api::{
+    EndReason, EndpointState, ListKind, ListedServer, RequestId, ServerId,
+};
+use mintshelf_balancer::decide::Balancer;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tracing::{debug, enabled, Level};
+
+/// The id that the client gave a request; empty where it gave none.
+fn transaction_id(request: &PendingRequest) -> &str {
+    let id = request.request.transaction_id.as_ref().map(HeaderValue::to_str);
+    id.and_then(Result::ok).unwrap_or_default()
+}
+
+/// A request was handed to the balancer.
+pub(super) fn request_began(id: &RequestId, request: &PendingRequest, timeout: Duration) {
+    debug!(
+        request = %id,
+        transaction = transaction_id(request),
+        class = request.class,
+        timeout_ms = timeout.as_millis() as u64,
+        "request began"
+    );
+}
+
+/// The balancer ended a request without a response of a server.
+pub(super) fn request_ended(id: &RequestId, request: Option<&PendingRequest>, reason: EndReason) {
+    let Some(request) = request else { return };
+    debug!(
+        request = %id,
+        transaction = transaction_id(request),
+        attempts = request.attempts.len(),
+        ?reason,
+        "request ended without a response"
+    );
+}
+
+/// An attempt was begun, or found nowhere to go.
+pub(super) fn attempt_began(
+    id: &RequestId,
+    number: u32,
+    server: ServerId,
+    address: Option<SocketAddr>,
+) {
+    debug!(request = %id, attempt = number + 1, server, ?address, "attempt began");
+}
+
+/// The name of an outcome in events.
+pub(super) fn outcome_name(outcome: &RequestOutcome) -> &'static str {
+    match outcome {
+        RequestOutcome::Served(_) => "served",
+        RequestOutcome::Rejected { .. } => "rejected",
+        RequestOutcome::Paced(_) => "paced",
+        RequestOutcome::Failed { timed_out: true } => "timed out",
+        RequestOutcome::Failed { timed_out: false } => "failed",
+    }
+}
+
+/// A client got its final outcome, or had left before it.
+pub(super) fn request_concluded(id: &RequestId, outcome: Option<&RequestOutcome>, took: Duration) {
+    let outcome = outcome.map_or("client left", outcome_name);
+    debug!(request = %id, outcome, took_ms = took.as_millis() as u64, "request concluded");
+}
+
+/// A list was applied, which took `took` of one turn.
+pub(super) fn list_applied(kind: ListKind, version: u64, changes: ListChanges, took: Duration) {
+    let ListChanges { live, draining, removed } = changes;
+    debug!(
+        ?kind,
+        version,
+        live,
+        draining,
+        removed,
+        took_us = took.as_micros() as u64,
+        "endpoint list applied"
+    );
+}
+
+/// What is in service after a list.
+pub(super) fn in_service(balancer: &Balancer) {
+    let summary = balancer.service_summary();
+    debug!(servers = summary.servers, capacity = summary.capacity, "in service");
+}
+
+/// How many entries of a list have each state.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct ListChanges {
+    live: usize,
+    draining: usize,
+    removed: usize,
+}
+
+impl ListChanges {
+    /// Counts the entries; none unless events at DEBUG are taken.
+    pub(super) fn count(servers: &[ListedServer]) -> Self {
+        let mut changes = ListChanges::default();
+        if !enabled!(Level::DEBUG) {
+            return changes;
+        }
+        for server in servers {
+            match server.state {
+                EndpointState::Live => changes.live += 1,
+                EndpointState::Draining => changes.draining += 1,
+                EndpointState::Removed => changes.removed += 1,
+            }
+        }
+        changes
+    }
+}
--- a/crates/simulator-adapter/src/wire/action.rs
+++ b/crates/simulator-adapter/src/wire/action.rs
@@ -16,8 +16,8 @@
             writeln!(reply, "forward {id} {server} {timeout_at}")
         }
         Action::Cancel { id, attempt } => writeln!(reply, "retract {id} {attempt}"),
-        Action::Reject { id, retry_after } => writeln!(reply, "shed {id} {retry_after}"),
-        Action::Fail { id } => writeln!(reply, "drop_request {id}"),
+        Action::Reject { id, retry_after, .. } => writeln!(reply, "shed {id} {retry_after}"),
+        Action::Fail { id, .. } => writeln!(reply, "drop_request {id}"),
         Action::SetTimer { after, token } => writeln!(reply, "set_timer {after} {token}"),
         Action::DropTimer { .. } => Ok(()),
         Action::Probe { server } => writeln!(reply, "probe {server}"),
