Slow start with a wrong wall clock; a seeded soak of the real program with thousands of servers

Need: start times in lists are of the servers' clocks, this machine's may be an hour off: a start that lay ahead kept a server at its initial capacity for an hour, one that seemed long past got full load at once.

Measured: the clock test fails before (55 sends to a new server, 12 by a right clock).

--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -60,6 +60,10 @@
     pub(crate) report_freshness: ReportFreshness,
     pub(crate) last_gossip_at: Nanos,
     pub(crate) discovery: DiscoveryCall,
+    /// Latest start that any list has stated, by the clock of the servers.
+    pub(crate) latest_start: Nanos,
+    /// Whether a list has come from discovery itself.
+    pub(crate) has_current_list: bool,
 }
 
 impl Balancer {
--- a/crates/balancer/src/decide/discovery.rs
+++ b/crates/balancer/src/decide/discovery.rs
@@ -1,7 +1,7 @@
 //! Calls to discovery, and the endpoint lists that it provides.
 
 use super::rates::{RATE_HALF_LIFE, RATE_MEMORY_SECONDS};
-use super::{Balancer, MS};
+use super::{Balancer, MS, SECOND};
 use crate::api::{Action, EndpointState, ListKind, ListedServer, Nanos, NOTIFIED_WITHIN};
 use crate::rng::hash;
 use crate::state::{DiscoveryCall, ServerState, Timer};
@@ -13,6 +13,9 @@
 const ADDRESS_CHANGE_SPREAD: Nanos = 600 * MS;
 /// Delay after a failed call, give or take a half.
 const WATCH_RETRY: Nanos = NOTIFIED_WITHIN / 5;
+/// No list tells of the latest start of all so late, unless the clock is wrong or discovery was
+/// out of reach; then a warm-up too many does little harm.
+const IMPLAUSIBLE_AGE: Nanos = 60 * SECOND;
 
 impl Balancer {
     pub(crate) fn on_start(&mut self) {
@@ -67,6 +70,9 @@
         let removed = if is_complete { self.servers.remove_unnamed() } else { Vec::new() };
         new.into_iter().for_each(|entry| self.apply_entry(entry, is_first));
         self.servers.apply_changes();
+        let latest_start = entries.iter().map(|entry| entry.started_at).max();
+        self.latest_start = self.latest_start.max(latest_start.unwrap_or(0));
+        self.has_current_list |= kind != ListKind::Cached;
         // Idle connections to these are of no use, and cost both sides file descriptors.
         let out_of_service = entries.iter().filter(|entry| entry.state != EndpointState::Live);
         let out_of_service = out_of_service.map(|entry| entry.id).chain(removed);
@@ -95,11 +101,8 @@
 
     /// The state of a server of which nothing but its entry is known.
     fn fresh_server(&mut self, entry: &ListedServer) -> ServerState {
-        let is_recent = |started_at: &Nanos| {
-            *started_at > 0 && self.now.saturating_sub(*started_at) < self.settings.warm_up
-        };
         ServerState {
-            started_at: Some(entry.started_at).filter(is_recent),
+            started_at: self.recent_start(entry.started_at),
             order_rank: self.order_rank(entry),
             warm_up_credit: self.rng.draw(),
             credit_updated_at: self.now,
@@ -108,6 +111,24 @@
         }
     }
 
+    /// When a server started that states this time, if that is recent.
+    ///
+    /// The time is of another machine's clock, and this one's may be wrong by hours. A start that
+    /// seems to lie ahead is no later than now. One that is the latest of all, and yet seems long
+    /// past when a change first tells of it, shows that this clock is ahead.
+    fn recent_start(&self, stated: Nanos) -> Option<Nanos> {
+        if stated == 0 {
+            return None;
+        }
+        let started_at = stated.min(self.now);
+        let age = self.now - started_at;
+        if age < self.settings.warm_up {
+            return Some(started_at);
+        }
+        let is_latest = self.has_current_list && stated >= self.latest_start;
+        (is_latest && age > IMPLAUSIBLE_AGE).then_some(self.now)
+    }
+
     /// A random rank, the same at each list. An order that is cut short then has more servers
     /// of the own zone, according to the price of crossing zones.
     fn order_rank(&self, entry: &ListedServer) -> u64 {
--- a/crates/balancer/tests/slow_start.rs
+++ b/crates/balancer/tests/slow_start.rs
@@ -102,3 +102,44 @@
     // Over these 5 s it is at 20 to 60% of its capacity.
     assert!(warming > 10 && warming < 160, "{warming} of 1000 sends, a fifth is a full share");
 }
+
+/// Sends to server 9 in 2 s after a change that lists it with this start, 100 a second, and in 2 s
+/// a minute later.
+fn sends_to_added_server(started_at: Nanos) -> [usize; 2] {
+    const NOW: Nanos = 7_200 * SECOND;
+    let mut instance = TestBalancer::new(settings()).0;
+    instance.handle(NOW, list(ListKind::Full, (1..=3).map(server).collect()));
+    let mut count_sends = |from: Nanos, name: &str| {
+        let mut count = 0;
+        for number in 0..200u64 {
+            let now = from + number * 10 * MS;
+            let id = format!("{name}{number}");
+            let Some(to) = sends(&instance.handle(now, request(&id, 0, SECOND))).first().copied()
+            else {
+                continue;
+            };
+            count += usize::from(to == 9);
+            instance.handle(now + 5 * MS, ended(&id, 0, to, Outcome::Ok, true));
+            if number == 100 && name == "before" {
+                let entry = ListedServer { started_at, ..server(9) };
+                instance.handle(now + 6 * MS, list(ListKind::Changes, vec![entry]));
+            }
+        }
+        count
+    };
+    count_sends(NOW, "before");
+    [count_sends(NOW + 2 * SECOND, "added"), count_sends(NOW + 62 * SECOND, "later")]
+}
+
+/// This machine's clock may be an hour behind or ahead of the servers'.
+#[test]
+fn a_wrong_clock_neither_skips_a_warm_up_nor_prolongs_one() {
+    let now = 7_201 * SECOND;
+    let [right, right_later] = sends_to_added_server(now);
+    assert!(right * 3 < right_later, "{right} while it warms up, {right_later} later");
+    for started_at in [now - 3_600 * SECOND, now + 3_600 * SECOND] {
+        let [added, later] = sends_to_added_server(started_at);
+        assert!(added < right + 10, "{added} sends to a new server, {right} by a right clock");
+        assert!(later * 10 > right_later * 7, "{later} later, {right_later} by a right clock");
+    }
+}
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod relay;
 mod server;
 mod sidecar;
+pub mod soak;
 mod wait;
 
 pub use addresses::free_address;
--- /dev/null
+++ b/crates/test-support/src/soak/cpu_limit.rs
@@ -0,0 +1,69 @@
+//! A process with a part of a core: it is stopped and continued so that its CPU time does not
+//! run ahead of its share.
+
+use rustix::process::{kill_process, Pid, Signal};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// How long the process may run at a time.
+const SLICE: Duration = Duration::from_micros(500);
+/// CPU time that an idle process saves up at most.
+const BURST: Duration = Duration::from_millis(2);
+const NANOS_PER_THOUSANDTH: u64 = 1_000;
+
+/// Limits a process until it is dropped.
+pub(super) struct CpuLimit {
+    is_over: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl CpuLimit {
+    /// Limits a process to thousandths of a core.
+    pub(super) fn start(pid: u32, thousandths: u32) -> Self {
+        let is_over = Arc::new(AtomicBool::new(false));
+        let flag = is_over.clone();
+        let thread = thread::spawn(move || limit(pid, thousandths, &flag));
+        CpuLimit { is_over, thread: Some(thread) }
+    }
+}
+
+impl Drop for CpuLimit {
+    fn drop(&mut self) {
+        self.is_over.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            // A panic there has ended the limit already.
+            let _ = thread.join();
+        }
+    }
+}
+
+fn limit(pid: u32, thousandths: u32, is_over: &AtomicBool) {
+    let Some(process) = Pid::from_raw(pid as i32) else { return };
+    let started_at = Instant::now();
+    let Some(mut used_before) = cpu_time(pid) else { return };
+    let mut credited_until = started_at;
+    while !is_over.load(Ordering::Relaxed) {
+        thread::sleep(SLICE);
+        let Some(used) = cpu_time(pid) else { return };
+        let owed = (used - used_before) * 1_000 / thousandths;
+        credited_until = (credited_until + owed).max(Instant::now() - share_of(BURST, thousandths));
+        used_before = used;
+        let ahead = credited_until.saturating_duration_since(Instant::now());
+        if ahead > SLICE && kill_process(process, Signal::STOP).is_ok() {
+            thread::sleep(ahead);
+            let _ = kill_process(process, Signal::CONT);
+        }
+    }
+}
+
+/// Time in which a share of a core gives this much CPU time.
+fn share_of(cpu: Duration, thousandths: u32) -> Duration {
+    Duration::from_nanos(cpu.as_nanos() as u64 * NANOS_PER_THOUSANDTH / u64::from(thousandths))
+}
+
+fn cpu_time(pid: u32) -> Option<Duration> {
+    let schedstat = std::fs::read_to_string(format!("/proc/{pid}/schedstat")).ok()?;
+    Some(Duration::from_nanos(schedstat.split(' ').next()?.parse().ok()?))
+}
--- /dev/null
+++ b/crates/test-support/src/soak/discovery.rs
@@ -0,0 +1,196 @@
+//! Discovery of a soak: it logs its changes, answers long polls with them or with complete lists,
+//! and records when it has written that a server is out of service.
+
+use super::records::Records;
+use super::stream::{MessageStream, Received};
+use crate::addresses::free_address;
+use crate::message::{ok_response, Message};
+use serde_json::{json, Value};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// State of a listed server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ListedState {
+    Serving,
+    Draining,
+    Deleted,
+}
+
+/// A listed server.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Listed {
+    pub(super) state: ListedState,
+    pub(super) boot_ms: u64,
+}
+
+/// The list and its changes, at any number of addresses.
+pub(super) struct Discovery {
+    records: Rc<RefCell<Records>>,
+    listed: RefCell<BTreeMap<usize, Listed>>,
+    /// The servers that each revision changed; the first revision is 1.
+    changes: RefCell<Vec<Vec<usize>>>,
+    revision: watch::Sender<u64>,
+    is_down: watch::Sender<bool>,
+    gives_complete_lists: Cell<bool>,
+    /// Servers whose end of service no one has been told.
+    untold: RefCell<HashSet<usize>>,
+}
+
+impl Discovery {
+    pub(super) fn new(records: Rc<RefCell<Records>>) -> Rc<Self> {
+        Rc::new(Discovery {
+            records,
+            listed: RefCell::default(),
+            changes: RefCell::default(),
+            revision: watch::Sender::new(0),
+            is_down: watch::Sender::new(false),
+            gives_complete_lists: Cell::new(false),
+            untold: RefCell::default(),
+        })
+    }
+
+    /// Listens at a further address.
+    pub(super) async fn listen(self: &Rc<Self>) -> SocketAddr {
+        let address = free_address();
+        let listener = TcpListener::bind(address).await.expect("an address for discovery");
+        let discovery = self.clone();
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                spawn_local(discovery.clone().serve(MessageStream::new(stream)));
+            }
+        });
+        address
+    }
+
+    /// Changes servers and tells the watches.
+    pub(super) fn change(&self, changed: Vec<(usize, Listed)>) {
+        if changed.is_empty() {
+            return;
+        }
+        let servers = changed.iter().map(|(server, _)| *server).collect();
+        for (server, listed) in changed {
+            if listed.state != ListedState::Serving {
+                self.untold.borrow_mut().insert(server);
+            }
+            self.listed.borrow_mut().insert(server, listed);
+        }
+        self.changes.borrow_mut().push(servers);
+        self.revision.send_modify(|revision| *revision += 1);
+    }
+
+    /// The servers with a state.
+    pub(super) fn with_state(&self, state: ListedState) -> Vec<usize> {
+        let listed = self.listed.borrow();
+        let servers = listed.iter().filter(|(_, listed)| listed.state == state);
+        servers.map(|(server, _)| *server).collect()
+    }
+
+    /// Gives complete lists to calls until the next change is told.
+    pub(super) fn give_complete_lists(&self, gives: bool) {
+        self.gives_complete_lists.set(gives);
+    }
+
+    /// Takes no calls for a while.
+    pub(super) async fn go_down(&self, lasts: Duration) {
+        self.is_down.send_replace(true);
+        sleep(lasts).await;
+        self.is_down.send_replace(false);
+    }
+
+    /// The complete list, for a configuration: whoever has it has been told all of it.
+    pub(super) fn known_list(&self) -> Value {
+        let untold = self.untold.borrow().iter().copied().collect();
+        self.record_told(untold);
+        self.list(None)
+    }
+
+    async fn serve(self: Rc<Self>, mut stream: MessageStream) {
+        let mut is_down = self.is_down.subscribe();
+        while let Received::Message(call, _) = stream.read().await {
+            tokio::select! {
+                _ = is_down.wait_for(|is_down| *is_down) => return reset(&stream),
+                answered = self.answer(&call, &mut stream) => if !answered { return },
+            }
+        }
+    }
+
+    async fn answer(&self, call: &Message, stream: &mut MessageStream) -> bool {
+        let after = call.after();
+        if let Some(after) = after {
+            let mut revision = self.revision.subscribe();
+            let newer = revision.wait_for(|revision| *revision > after);
+            tokio::select! {
+                _ = timeout(wait_of(call), newer) => {}
+                () = stream.ended() => return false,
+            }
+        }
+        let is_complete = after.is_none() || self.gives_complete_lists.get();
+        let list = self.list(after.filter(|_| !is_complete));
+        let told: Vec<usize> = self.untold.borrow().iter().copied().collect();
+        let body = list.to_string();
+        if stream.write(&ok_response(&body)).await.is_err() {
+            return false;
+        }
+        self.record_told(told);
+        let mut records = self.records.borrow_mut();
+        records.list_bytes += body.len();
+        records.list_calls += 1;
+        true
+    }
+
+    fn record_told(&self, told: Vec<usize>) {
+        let now = Instant::now();
+        for server in told {
+            self.untold.borrow_mut().remove(&server);
+            self.records.borrow_mut().servers[server].out_of_service_at.get_or_insert(now);
+        }
+    }
+
+    /// What changed after a revision, or the complete list with the newest servers first.
+    fn list(&self, after: Option<u64>) -> Value {
+        let revision = *self.revision.borrow();
+        let Some(after) = after.filter(|after| *after > 0 && *after <= revision) else {
+            let listed = self.listed.borrow();
+            let named = listed.iter().rev().filter(|(_, one)| one.state != ListedState::Deleted);
+            let targets: Vec<Value> =
+                named.map(|(server, listed)| self.entry(*server, *listed)).collect();
+            return json!({"rev": revision, "all": true, "targets": targets});
+        };
+        let changes = self.changes.borrow();
+        let newer: HashSet<usize> = changes[after as usize..].iter().flatten().copied().collect();
+        let listed = self.listed.borrow();
+        let targets: Vec<Value> =
+            newer.into_iter().map(|server| self.entry(server, listed[&server])).collect();
+        json!({"rev": revision, "all": false, "targets": targets})
+    }
+
+    fn entry(&self, server: usize, listed: Listed) -> Value {
+        let state = match listed.state {
+            ListedState::Serving => "SERVING",
+            ListedState::Draining => "DRAINING",
+            ListedState::Deleted => "DELETED",
+        };
+        let address = self.records.borrow().servers[server].address.to_string();
+        json!({"uid": format!("s-{server:08x}"), "endpoint": address, "az": "a", "model": "m",
+            "pod_group": server / 4, "state": state, "capacity_hint": 1.0,
+            "boot_ms": listed.boot_ms})
+    }
+}
+
+fn wait_of(call: &Message) -> Duration {
+    let (_, wait) = call.path().split_once("wait_ms=").unwrap_or(("", "0"));
+    let wait = wait.split('&').next().and_then(|wait| wait.parse().ok());
+    Duration::from_millis(wait.unwrap_or(0))
+}
+
+fn reset(stream: &MessageStream) {
+    let _ = socket2::SockRef::from(&stream.stream).set_linger(Some(Duration::ZERO));
+}
--- /dev/null
+++ b/crates/test-support/src/soak/mod.rs
@@ -0,0 +1,19 @@
+//! A soak of the real sidecar between stand-ins, determined by a seed: releases in fleets of up to
+//! thousands of servers, drains, hanging servers, an outage of discovery, clients that leave, a
+//! crowd of idle ones, signals in series, and a process with a small share of a core.
+//!
+//! The stand-ins record what they see. [`oracle`] judges by these records alone, without any code
+//! of the program.
+
+mod clients;
+mod cpu_limit;
+mod discovery;
+pub mod oracle;
+mod records;
+mod run;
+mod scenario;
+mod servers;
+mod stream;
+
+pub use run::{run, SoakReport};
+pub use scenario::{Class, Scenario};
--- /dev/null
+++ b/crates/test-support/src/soak/oracle.rs
@@ -0,0 +1,151 @@
+//! Judges a run by the stand-ins' records alone.
+
+use super::clients::LATE_MAX;
+use super::records::{AttemptRecord, Ending, Fate, Records, RequestRecord};
+use super::scenario::Class;
+use std::fmt;
+use std::time::Duration;
+
+/// Time after the notification of a drain in which requests may still be sent, with the slack that
+/// the platform gives on sockets.
+const DRAIN_GRACE: Duration = Duration::from_millis(300);
+/// Time after a client has left in which an attempt may still begin.
+const LEFT_GRACE: Duration = Duration::from_millis(100);
+/// Slack of the time that an attempt tells its server.
+const REMAINING_SLACK: Duration = Duration::from_millis(150);
+/// Two attempts that overlap by less may have been seen in the wrong order.
+const OVERLAP_SLACK: Duration = Duration::from_millis(100);
+const MAX_ATTEMPTS: usize = 6;
+
+/// A rule that was broken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// Each request gets one complete final response in its time.
+    Lost,
+    /// Nothing runs twice.
+    Duplicate,
+    /// Nothing new goes to draining and removed servers.
+    Drain,
+    /// The process runs, is ready in time and ends in time.
+    Process,
+}
+
+/// One break of a rule.
+#[derive(Debug, Clone)]
+pub struct Violation {
+    /// The rule.
+    pub rule: Rule,
+    /// Which request or process, and what was seen.
+    pub text: String,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        write!(formatter, "{:?}: {}", self.rule, self.text)
+    }
+}
+
+/// All breaks of rules in a run.
+pub fn judge(records: &Records) -> Vec<Violation> {
+    let by_request = records.attempts_by_request();
+    let mut violations = Vec::new();
+    for request in &records.requests {
+        let attempts = by_request.get(request.transaction.as_str()).map_or(&[][..], Vec::as_slice);
+        violations.extend(lost(records, request, attempts));
+        violations.extend(late_attempts(request, attempts));
+        violations.extend(duplicates(request, attempts));
+    }
+    violations.extend(records.attempts.iter().filter_map(|attempt| drain(records, attempt)));
+    let process = records.process_faults.iter();
+    violations.extend(process.map(|text| Violation { rule: Rule::Process, text: text.clone() }));
+    violations
+}
+
+fn violation(rule: Rule, request: &RequestRecord, text: impl fmt::Display) -> Violation {
+    let RequestRecord { transaction, class, timeout, .. } = request;
+    Violation { rule, text: format!("{transaction} ({class:?}, waits {timeout:?}): {text}") }
+}
+
+fn lost(
+    records: &Records,
+    request: &RequestRecord,
+    attempts: &[&AttemptRecord],
+) -> Option<Violation> {
+    let count = attempts.len();
+    let is_on_time = request.ended_at <= request.sent_at + request.timeout + LATE_MAX;
+    let text = match &request.ending {
+        Ending::Left => return None,
+        // A client's resend is refused while nobody listens; where descriptors have run out,
+        // connections may be closed unread.
+        Ending::Closed { .. } if records.has_crowd && count == 0 => return None,
+        Ending::Response(200, body) if !has_made(attempts, &request.transaction, body) => {
+            format!("a response that no server made: {body:?}")
+        }
+        Ending::Response(..) if is_on_time => return None,
+        ending => format!("{ending:?} with {count} attempts"),
+    };
+    Some(violation(Rule::Lost, request, text))
+}
+
+fn has_made(attempts: &[&AttemptRecord], transaction: &str, body: &str) -> bool {
+    let is_of = |attempt: &&AttemptRecord| body == format!("{transaction} by {}", attempt.server);
+    attempts.iter().any(is_of)
+}
+
+/// Attempts for a client that has left, and such that state more time than it has.
+fn late_attempts(request: &RequestRecord, attempts: &[&AttemptRecord]) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for attempt in attempts {
+        let after_leaving = attempt.began_at.saturating_duration_since(request.ended_at);
+        if request.ending == Ending::Left && after_leaving > LEFT_GRACE {
+            let text = format!("an attempt {after_leaving:?} after its client left");
+            violations.push(violation(Rule::Lost, request, text));
+        }
+        let end = request.sent_at + request.timeout;
+        let left = end.saturating_duration_since(attempt.began_at);
+        let stated = attempt.remaining.unwrap_or_default();
+        if stated > left + REMAINING_SLACK {
+            let text = format!("an attempt states {stated:?} where {left:?} is left");
+            violations.push(violation(Rule::Lost, request, text));
+        }
+    }
+    violations
+}
+
+fn duplicates(request: &RequestRecord, attempts: &[&AttemptRecord]) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    let mut report = |text: String| violations.push(violation(Rule::Duplicate, request, text));
+    if attempts.len() > MAX_ATTEMPTS {
+        report(format!("{} attempts", attempts.len()));
+    }
+    for pair in attempts.windows(2) {
+        let ended_at = pair[0].ended_at.map(|at| at - OVERLAP_SLACK);
+        if ended_at.is_none_or(|at| at > pair[1].began_at) {
+            report("two attempts in flight".to_string());
+        }
+    }
+    let may_have_run = |attempt: &&&AttemptRecord| attempt.fate != Fate::TurnedAway;
+    let Some(ran) = attempts.iter().position(|attempt| may_have_run(&attempt)) else {
+        return violations;
+    };
+    if request.class == Class::Unsafe && ran + 1 < attempts.len() {
+        report("an unsafe request was sent again after it may have run".to_string());
+    }
+    let was_rejected = matches!(request.ending, Ending::Response(429 | 503, _));
+    if request.class == Class::Unsafe && was_rejected {
+        report("an unsafe request that may have run was rejected".to_string());
+    }
+    violations
+}
+
+fn drain(records: &Records, attempt: &AttemptRecord) -> Option<Violation> {
+    let told_at = records.servers[attempt.server].out_of_service_at?;
+    let after = attempt.began_at.saturating_duration_since(told_at);
+    (after > DRAIN_GRACE).then(|| Violation {
+        rule: Rule::Drain,
+        text: format!(
+            "{} was sent to server {} {after:?} after its drain was written",
+            attempt.transaction, attempt.server
+        ),
+    })
+}
--- /dev/null
+++ b/crates/test-support/src/soak/records.rs
@@ -0,0 +1,118 @@
+//! What the stand-ins have seen.
+
+use super::scenario::Class;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// What a server did with an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    /// It has not ended.
+    Open,
+    /// Served with 200.
+    Served,
+    /// Turned away: it did not run.
+    TurnedAway,
+    /// Answered with an error, reset, or given up by the other side: it may have run.
+    Doubtful,
+}
+
+/// An attempt as a server saw it.
+#[derive(Debug, Clone)]
+pub struct AttemptRecord {
+    /// The server's number.
+    pub server: usize,
+    /// The request's id.
+    pub transaction: String,
+    /// When its first byte came.
+    pub began_at: Instant,
+    /// When it had come completely.
+    pub arrived_at: Instant,
+    /// The time that it said was left.
+    pub remaining: Option<Duration>,
+    /// What came of it.
+    pub fate: Fate,
+    /// When it ended.
+    pub ended_at: Option<Instant>,
+}
+
+/// How a request ended for its client.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Ending {
+    /// A complete response: its status, and its body as text.
+    Response(u16, String),
+    /// The connection ended before any byte of a response; whether it had carried others before.
+    Closed {
+        /// Whether it had carried a request before, so that its end may have crossed this one.
+        is_reused: bool,
+    },
+    /// The response broke off.
+    Broken,
+    /// No response in its time.
+    Silence,
+    /// Its client left before.
+    Left,
+}
+
+/// A request as its client saw it.
+#[derive(Debug, Clone)]
+pub struct RequestRecord {
+    /// Its id.
+    pub transaction: String,
+    /// Its class.
+    pub class: Class,
+    /// When its last byte was written.
+    pub sent_at: Instant,
+    /// How long its client waits.
+    pub timeout: Duration,
+    /// How it ended.
+    pub ending: Ending,
+    /// When it ended, or its client left.
+    pub ended_at: Instant,
+}
+
+/// A server, and what discovery has told of it.
+#[derive(Debug, Clone)]
+pub struct ServerRecord {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// When a list without it, or that has it as draining, was written completely.
+    pub out_of_service_at: Option<Instant>,
+}
+
+/// All records of a run.
+#[derive(Debug, Default)]
+pub struct Records {
+    /// Attempts in the order in which they began.
+    pub attempts: Vec<AttemptRecord>,
+    /// Requests in the order in which they ended.
+    pub requests: Vec<RequestRecord>,
+    /// Servers by their numbers.
+    pub servers: Vec<ServerRecord>,
+    /// Times from SIGTERM to the end of the process, or to SIGKILL.
+    pub shutdowns: Vec<Duration>,
+    /// What went wrong with the process itself.
+    pub process_faults: Vec<String>,
+    /// Bytes of lists that discovery has written.
+    pub list_bytes: usize,
+    /// Calls that discovery has answered.
+    pub list_calls: usize,
+    /// CPU time of all processes.
+    pub cpu: Duration,
+    /// Largest resident memory of any process, in bytes.
+    pub peak_memory: usize,
+    /// Whether idle clients take the descriptors: new connections may be closed unread.
+    pub has_crowd: bool,
+}
+
+impl Records {
+    /// The attempts of each request, in the order in which they began.
+    pub(super) fn attempts_by_request(&self) -> HashMap<&str, Vec<&AttemptRecord>> {
+        let mut by_request: HashMap<&str, Vec<&AttemptRecord>> = HashMap::new();
+        for attempt in &self.attempts {
+            by_request.entry(&attempt.transaction).or_default().push(attempt);
+        }
+        by_request
+    }
+}
--- /dev/null
+++ b/crates/test-support/src/soak/run.rs
@@ -0,0 +1,366 @@
+//! Runs a scenario against the real program.
+
+use super::clients::Clients;
+use super::cpu_limit::CpuLimit;
+use super::discovery::{Discovery, Listed, ListedState};
+use super::oracle::{judge, Rule, Violation};
+use super::records::{Ending, Records};
+use super::scenario::{Behavior, Class, Draw, Event, Scenario};
+use super::servers::Servers;
+use super::stream::{MessageStream, Received};
+use crate::addresses::free_address;
+use crate::message::get;
+use crate::process::Process;
+use serde_json::{json, Value};
+use std::cell::RefCell;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpStream;
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{sleep, sleep_until, timeout};
+
+/// A process has to be ready in this time.
+const READY_MAX: Duration = Duration::from_secs(10);
+/// The longest deadline counts up to this between SIGTERM and SIGKILL, with `KILL_EXTRA` on top.
+const KILL_DEADLINE_MAX: Duration = Duration::from_secs(3);
+const KILL_EXTRA: Duration = Duration::from_millis(700);
+/// Clients go on connecting for this long after SIGTERM.
+const LATE_CONNECTS: Duration = Duration::from_millis(300);
+/// How long a run goes on after its last restart.
+const AFTER_RESTART: Duration = Duration::from_secs(2);
+/// Connections for which the configuration has room.
+const SOCKETS: usize = 256;
+const MEMORY_MB: usize = 48;
+
+/// What came of a run.
+#[derive(Debug, Clone)]
+pub struct SoakReport {
+    /// Breaks of rules.
+    pub violations: Vec<Violation>,
+    /// Requests made.
+    pub requests: usize,
+    /// Those that were served.
+    pub served: usize,
+    /// Attempts that servers have seen.
+    pub attempts: usize,
+    /// Bytes of lists that discovery has written.
+    pub list_bytes: usize,
+    /// Calls that discovery has answered.
+    pub list_calls: usize,
+    /// CPU time of all processes.
+    pub cpu: Duration,
+    /// Largest resident memory in bytes.
+    pub peak_memory: usize,
+}
+
+impl SoakReport {
+    fn new(records: &Records) -> Self {
+        let is_served = |ending: &Ending| matches!(ending, Ending::Response(200, _));
+        let served = records.requests.iter().filter(|request| is_served(&request.ending));
+        SoakReport {
+            violations: judge(records),
+            requests: records.requests.len(),
+            served: served.count(),
+            attempts: records.attempts.len(),
+            list_bytes: records.list_bytes,
+            list_calls: records.list_calls,
+            cpu: records.cpu,
+            peak_memory: records.peak_memory,
+        }
+    }
+
+    /// How many breaks of a rule there were.
+    pub fn count(&self, rule: Rule) -> usize {
+        self.violations.iter().filter(|violation| violation.rule == rule).count()
+    }
+}
+
+impl fmt::Display for SoakReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        write!(
+            formatter,
+            "lost {} duplicate {} drain {} process {}; served {} of {}, {} attempts, \
+             {} calls with {} KB of lists, CPU {:.2} s, memory {} MB",
+            self.count(Rule::Lost),
+            self.count(Rule::Duplicate),
+            self.count(Rule::Drain),
+            self.count(Rule::Process),
+            self.served,
+            self.requests,
+            self.attempts,
+            self.list_calls,
+            self.list_bytes >> 10,
+            self.cpu.as_secs_f64(),
+            self.peak_memory >> 20
+        )
+    }
+}
+
+/// Plays a scenario against the program at this path.
+///
+/// # Panics
+/// The stand-ins cannot be set up.
+pub fn run(program: &str, scenario: &Scenario) -> SoakReport {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let records = Rc::new(RefCell::new(Records::default()));
+    records.borrow_mut().has_crowd = scenario.crowd > 0;
+    let played = play(program.to_string(), scenario.clone(), records.clone());
+    LocalSet::new().block_on(&runtime.expect("a runtime"), played);
+    let report = SoakReport::new(&records.borrow());
+    report
+}
+
+async fn play(program: String, scenario: Scenario, records: Rc<RefCell<Records>>) {
+    let draw = |part: u64| Draw::new(scenario.seed ^ part << 32);
+    let servers = Servers::new(records.clone(), draw(1));
+    let discovery = Discovery::new(records.clone());
+    let mut first = Vec::new();
+    for _ in 0..scenario.servers {
+        let listed = Listed { state: ListedState::Serving, boot_ms: 0 };
+        first.push((servers.start().await, listed));
+    }
+    discovery.change(first);
+    let listen = free_address();
+    let clients = Clients::new(listen, scenario.deadline, records.clone(), draw(2));
+    let mut stage = Stage {
+        program,
+        draw: draw(3),
+        listen,
+        discovery_address: discovery.listen().await,
+        scenario: scenario.clone(),
+        records,
+        servers,
+        discovery,
+        clients: clients.clone(),
+        child: None,
+        cpu_limit: None,
+    };
+    stage.start().await;
+    clients.gather_crowd(scenario.crowd).await;
+    let sending = spawn_local(clients.clone().send_requests(scenario.rate));
+    let started_at = tokio::time::Instant::now();
+    for (at, event) in &scenario.events {
+        sleep_until(started_at + *at).await;
+        stage.happen(event).await;
+    }
+    sleep_until(started_at + scenario.length).await;
+    stage.stop().await;
+    sending.abort();
+    clients.all_ended().await;
+}
+
+/// Everything around the process, and the process.
+struct Stage {
+    program: String,
+    scenario: Scenario,
+    draw: Draw,
+    listen: SocketAddr,
+    discovery_address: SocketAddr,
+    records: Rc<RefCell<Records>>,
+    servers: Rc<Servers>,
+    discovery: Rc<Discovery>,
+    clients: Rc<Clients>,
+    child: Option<Running>,
+    cpu_limit: Option<CpuLimit>,
+}
+
+/// A process, killed when this is dropped.
+struct Running(Child);
+
+impl Process for Running {
+    fn pid(&self) -> u32 {
+        self.0.id()
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        crate::process::kill(&mut self.0);
+    }
+}
+
+impl Stage {
+    async fn happen(&mut self, event: &Event) {
+        match event {
+            Event::Join(count) => self.join(*count).await,
+            Event::Drain(count) => self.drain(*count),
+            Event::Remove => self.remove(),
+            Event::Misbehave { thousandths, behavior, lasts } => {
+                self.misbehave(*thousandths, *behavior, *lasts);
+            }
+            Event::Outage(lasts) => {
+                let discovery = self.discovery.clone();
+                let lasts = *lasts;
+                spawn_local(async move { discovery.go_down(lasts).await });
+            }
+            Event::CompleteLists => self.discovery.give_complete_lists(true),
+            Event::Reload => self.reload().await,
+            Event::Restart => {
+                self.stop().await;
+                self.start().await;
+                sleep(AFTER_RESTART).await;
+            }
+        }
+    }
+
+    async fn join(&mut self, count: usize) {
+        let boot_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |now| now.as_millis());
+        let mut joined = Vec::new();
+        for _ in 0..count {
+            let listed = Listed { state: ListedState::Serving, boot_ms: boot_ms as u64 };
+            joined.push((self.servers.start().await, listed));
+        }
+        self.discovery.change(joined);
+    }
+
+    fn drain(&mut self, count: usize) {
+        let mut serving = self.discovery.with_state(ListedState::Serving);
+        let mut drained = Vec::new();
+        while drained.len() < count && serving.len() > 2 {
+            let server = serving.swap_remove(self.draw.between(0, serving.len() - 1));
+            drained.push((server, Listed { state: ListedState::Draining, boot_ms: 0 }));
+        }
+        self.discovery.change(drained);
+    }
+
+    fn remove(&self) {
+        let draining = self.discovery.with_state(ListedState::Draining);
+        let removed = Listed { state: ListedState::Deleted, boot_ms: 0 };
+        self.discovery.change(draining.into_iter().map(|server| (server, removed)).collect());
+        self.discovery.give_complete_lists(false);
+    }
+
+    fn misbehave(&mut self, thousandths: usize, behavior: Behavior, lasts: Duration) {
+        let count = self.records.borrow().servers.len();
+        let affected: Vec<usize> =
+            (0..count).filter(|_| self.draw.between(0, 999) < thousandths).collect();
+        affected.iter().for_each(|server| self.servers.set_behavior(*server, behavior));
+        let servers = self.servers.clone();
+        spawn_local(async move {
+            sleep(lasts).await;
+            affected.iter().for_each(|server| servers.set_behavior(*server, Behavior::Serve));
+        });
+    }
+
+    async fn reload(&mut self) {
+        self.discovery_address = self.discovery.listen().await;
+        self.write_config();
+        if let Some(child) = &self.child {
+            child.signal("HUP");
+        }
+    }
+
+    fn file(&self) -> PathBuf {
+        let name = self.listen.to_string().replace(':', "-");
+        std::env::temp_dir().join(format!("mintshelf-soak-{name}.json"))
+    }
+
+    fn write_config(&self) {
+        let config = self.config().to_string();
+        std::fs::write(self.file(), config).expect("a configuration file");
+    }
+
+    fn config(&self) -> Value {
+        let deadline = self.scenario.deadline.as_nanos() as u64;
+        let semantics = |class: Class| match class {
+            Class::Safe => "pure",
+            Class::Keyed => "token",
+            Class::Unsafe => "side_effect",
+        };
+        let classes = Class::ALL.map(|class| {
+            json!({"name": class.name(), "semantics": semantics(class), "goal-time": deadline / 2,
+                "deadline": deadline, "worth": 1, "memory-span": 20_000_000_000u64})
+        });
+        let mut config = crate::sidecar::config(self.discovery_address, Vec::new());
+        config["listen"] = json!(self.listen.to_string());
+        config["limits"] = json!({"memory_mb": MEMORY_MB, "sockets": SOCKETS});
+        config["known"] = self.discovery.known_list();
+        config["settings"]["balancers"] = json!(300);
+        config["settings"]["classes"] = json!(classes);
+        config["settings"]["invariants"]["cold"] = json!(6_000_000_000u64);
+        config
+    }
+
+    /// Starts the process and waits until it is ready.
+    async fn start(&mut self) {
+        self.write_config();
+        let mut command = Command::new(&self.program);
+        command.env("RELAY_CONFIG", self.file()).stdout(Stdio::null()).stderr(Stdio::null());
+        let child = Running(command.spawn().expect("the program starts"));
+        let thousandths = self.scenario.cpu_thousandths;
+        self.cpu_limit = thousandths.map(|thousandths| CpuLimit::start(child.pid(), thousandths));
+        self.child = Some(child);
+        if timeout(READY_MAX, self.ready()).await.is_err() {
+            self.report_fault("not ready in 10 s");
+        }
+        self.clients.set_may_connect(true);
+    }
+
+    async fn ready(&self) {
+        loop {
+            if let Ok(stream) = TcpStream::connect(self.listen).await {
+                let mut stream = MessageStream::new(stream);
+                let written = stream.write(&get("/-/ready")).await;
+                let response = stream.read().await;
+                let is_ready =
+                    matches!(response, Received::Message(response, _) if response.status() == 200);
+                if written.is_ok() && is_ready {
+                    return;
+                }
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// SIGTERM, and SIGKILL at the earliest time that the platform allows.
+    async fn stop(&mut self) {
+        let Some(mut child) = self.child.take() else { return };
+        if !matches!(child.0.try_wait(), Ok(None)) {
+            self.report_fault("the process had ended by itself");
+            return;
+        }
+        let told_at = Instant::now();
+        child.signal("TERM");
+        sleep(LATE_CONNECTS).await;
+        self.clients.set_may_connect(false);
+        let kill_after = self.scenario.deadline.min(KILL_DEADLINE_MAX) + KILL_EXTRA;
+        while told_at.elapsed() < kill_after && matches!(child.0.try_wait(), Ok(None)) {
+            self.note_usage(&child);
+            sleep(Duration::from_millis(10)).await;
+        }
+        self.records.borrow_mut().shutdowns.push(told_at.elapsed());
+        self.cpu_limit = None;
+        drop(child);
+        self.clients.all_ended().await;
+        self.clients.forget_connections();
+    }
+
+    /// Notes what the process has used; it may end meanwhile.
+    fn note_usage(&self, child: &Running) {
+        let pid = child.pid();
+        let Ok(schedstat) = std::fs::read_to_string(format!("/proc/{pid}/schedstat")) else {
+            return;
+        };
+        let Ok(status) = std::fs::read_to_string(format!("/proc/{pid}/status")) else { return };
+        let used = schedstat.split(' ').next().and_then(|used| used.parse().ok()).unwrap_or(0);
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.and_then(|text| text.split_whitespace().next()?.parse::<usize>().ok());
+        let mut records = self.records.borrow_mut();
+        records.cpu = records.cpu.max(Duration::from_nanos(used));
+        records.peak_memory = records.peak_memory.max(peak.unwrap_or(0) << 10);
+    }
+
+    fn report_fault(&self, text: &str) {
+        self.records.borrow_mut().process_faults.push(text.to_string());
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(self.file());
+    }
+}
--- /dev/null
+++ b/crates/test-support/src/soak/servers.rs
@@ -0,0 +1,113 @@
+//! Servers of a soak: each listens at an address of its own and behaves as the run says.
+
+use super::records::{AttemptRecord, Fate, Records, ServerRecord};
+use super::scenario::{Behavior, Draw};
+use super::stream::{MessageStream, Received};
+use crate::addresses::free_address;
+use crate::message::ok_response;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+const TURNED_AWAY: &[u8] = b"HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
+const ERROR: &[u8] = b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n";
+/// How long a server works for a request, in milliseconds.
+const WORK_MS: (u64, u64) = (2, 40);
+
+/// All servers of a run.
+pub(super) struct Servers {
+    records: Rc<RefCell<Records>>,
+    behaviors: RefCell<Vec<Behavior>>,
+    draw: RefCell<Draw>,
+}
+
+impl Servers {
+    pub(super) fn new(records: Rc<RefCell<Records>>, draw: Draw) -> Rc<Self> {
+        Rc::new(Servers { records, behaviors: RefCell::default(), draw: RefCell::new(draw) })
+    }
+
+    /// Starts a server; its number.
+    pub(super) async fn start(self: &Rc<Self>) -> usize {
+        let address = free_address();
+        let listener = TcpListener::bind(address).await.expect("an address for a server");
+        let number = {
+            let mut records = self.records.borrow_mut();
+            records.servers.push(ServerRecord { address, out_of_service_at: None });
+            records.servers.len() - 1
+        };
+        self.behaviors.borrow_mut().push(Behavior::Serve);
+        let servers = self.clone();
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                spawn_local(servers.clone().serve(number, MessageStream::new(stream)));
+            }
+        });
+        number
+    }
+
+    /// Sets what a server does from now on.
+    pub(super) fn set_behavior(&self, number: usize, behavior: Behavior) {
+        self.behaviors.borrow_mut()[number] = behavior;
+    }
+
+    async fn serve(self: Rc<Self>, number: usize, mut stream: MessageStream) {
+        while let Received::Message(request, began_at) = stream.read().await {
+            let transaction = request.header("x-txn").unwrap_or_default().to_string();
+            let remaining = request.header("x-remaining-ms").and_then(|text| text.parse().ok());
+            let attempt = {
+                let mut records = self.records.borrow_mut();
+                records.attempts.push(AttemptRecord {
+                    server: number,
+                    transaction: transaction.clone(),
+                    began_at,
+                    arrived_at: Instant::now(),
+                    remaining: remaining.map(Duration::from_millis),
+                    fate: Fate::Open,
+                    ended_at: None,
+                });
+                records.attempts.len() - 1
+            };
+            let fate = self.respond(number, &transaction, &mut stream).await;
+            let mut records = self.records.borrow_mut();
+            records.attempts[attempt].fate = fate;
+            records.attempts[attempt].ended_at = Some(Instant::now());
+            drop(records);
+            if fate == Fate::Doubtful && self.behavior(number) == Behavior::Reset {
+                let _ = socket2::SockRef::from(&stream.stream).set_linger(Some(Duration::ZERO));
+                return;
+            }
+        }
+    }
+
+    fn behavior(&self, number: usize) -> Behavior {
+        self.behaviors.borrow()[number]
+    }
+
+    /// Answers a request as the server does now; what came of it.
+    async fn respond(&self, number: usize, transaction: &str, stream: &mut MessageStream) -> Fate {
+        let (response, fate) = match self.behavior(number) {
+            Behavior::Full => (TURNED_AWAY.to_vec(), Fate::TurnedAway),
+            Behavior::Fail => (ERROR.to_vec(), Fate::Doubtful),
+            Behavior::Reset => return Fate::Doubtful,
+            Behavior::Hang => {
+                stream.ended().await;
+                return Fate::Doubtful;
+            }
+            Behavior::Serve => {
+                let work = self.draw.borrow_mut().millis(WORK_MS.0, WORK_MS.1);
+                tokio::select! {
+                    () = sleep(work) => {}
+                    () = stream.ended() => return Fate::Doubtful,
+                }
+                (ok_response(&format!("{transaction} by {number}")), Fate::Served)
+            }
+        };
+        match stream.write(&response).await {
+            Ok(()) => fate,
+            Err(_) => Fate::Doubtful,
+        }
+    }
+}
