Discovery: a reset is confirmed with changes, not with a complete list each 350 ms

Cause: a service with lower revisions was asked for the complete list every 350 ms for a second and more, by every sidecar at one time.

Change: after the first complete list only changes after its revision are asked for, until the second is over; then one complete list is accepted.

--- a/crates/discovery/src/revision.rs
+++ b/crates/discovery/src/revision.rs
@@ -10,7 +10,7 @@
 /// long. A replica that only lags has caught up by then. A longer time would not leave enough of
 /// the 4 s within which the platform wants changes to be followed after discovery has moved.
 pub const RESET_CONFIRMATION: Duration = Duration::from_millis(1_000);
-/// Time between the calls that ask for complete lists while a reset is to be confirmed.
+/// Time between the calls while a reset is to be confirmed.
 pub const RESET_POLL_INTERVAL: Duration = Duration::from_millis(350);
 
 /// What is done with a response.
@@ -18,10 +18,20 @@
 pub enum Verdict {
     /// It is applied.
     Accept,
-    /// It is ignored, and a complete list is requested after [`RESET_POLL_INTERVAL`].
+    /// It is ignored, and the [`ResetCheck`] is made after [`RESET_POLL_INTERVAL`].
     Suspect,
 }
 
+/// What is asked for while a reset is to be confirmed. Complete lists of a large fleet are long,
+/// and all sidecars ask at one time: changes do where they show as much.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResetCheck {
+    /// The complete list.
+    CompleteList,
+    /// What changed after this revision, without waiting.
+    ChangesAfter(u64),
+}
+
 /// Complete lists that all had revisions below the current one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Regression {
@@ -79,6 +89,17 @@
         Verdict::Suspect
     }
 
+    /// What to ask for next at `now`, after a response was suspect.
+    #[must_use]
+    pub fn reset_check(&self, now: Duration) -> ResetCheck {
+        let is_open =
+            |regression: &Regression| now.saturating_sub(regression.since) < RESET_CONFIRMATION;
+        match self.regression.filter(is_open) {
+            Some(regression) => ResetCheck::ChangesAfter(regression.last_revision),
+            None => ResetCheck::CompleteList,
+        }
+    }
+
     /// Makes `revision` the current one.
     pub fn accept(&mut self, revision: u64) {
         self.current = revision;
--- a/crates/discovery/tests/revisions.rs
+++ b/crates/discovery/tests/revisions.rs
@@ -1,6 +1,6 @@
 //! Lower revisions are accepted only from a service whose counter was reset.
 
-use mintshelf_discovery::revision::{RevisionTracker, Verdict, RESET_CONFIRMATION};
+use mintshelf_discovery::revision::{ResetCheck, RevisionTracker, Verdict, RESET_CONFIRMATION};
 use proptest::prelude::*;
 use std::time::Duration;
 
@@ -41,6 +41,19 @@
     assert_eq!(tracker.evaluate(ms(1_001), 1, true), Verdict::Suspect);
 }
 
+#[test]
+fn a_reset_is_confirmed_with_two_complete_lists() {
+    let mut tracker = tracker_at(41);
+    assert_eq!(tracker.evaluate(ms(0), 1, false), Verdict::Suspect);
+    assert_eq!(tracker.reset_check(ms(350)), ResetCheck::CompleteList);
+    assert_eq!(tracker.evaluate(ms(350), 1, true), Verdict::Suspect);
+    assert_eq!(tracker.reset_check(ms(700)), ResetCheck::ChangesAfter(1));
+    assert_eq!(tracker.evaluate(ms(700), 2, false), Verdict::Suspect);
+    assert_eq!(tracker.reset_check(ms(1_349)), ResetCheck::ChangesAfter(1));
+    assert_eq!(tracker.reset_check(ms(1_350)), ResetCheck::CompleteList);
+    assert_eq!(tracker.evaluate(ms(1_400), 2, true), Verdict::Accept);
+}
+
 proptest! {
     /// Checked against an independent model: a lower revision is accepted only if a complete list
     /// at least one second before it was lower too, and none in between was lower than the one
--- a/crates/proxy/src/discovery/mod.rs
+++ b/crates/proxy/src/discovery/mod.rs
@@ -6,10 +6,10 @@
 mod server_numbers;
 
 use crate::endpoints::EndpointListObserver;
-use client::{DiscoveryClient, ReceivedBody};
+use client::{DiscoveryClient, ReceivedBody, LIST_RESPONSE_TIMEOUT};
 use list::EndpointList;
 use mintshelf_balancer::api::ListKind;
-use mintshelf_discovery::revision::{Verdict, RESET_POLL_INTERVAL};
+use mintshelf_discovery::revision::{ResetCheck, Verdict, RESET_POLL_INTERVAL};
 use mintshelf_discovery::watch::{CallOutcome, NextCall, WatchState};
 use reader::EndpointListReader;
 use std::cell::{Cell, RefCell};
@@ -119,7 +119,7 @@
     /// Applies a response if its revision allows.
     ///
     /// An older list would undo later changes. But a service that was reset never reaches the
-    /// current revision, so complete lists are fetched until one is accepted.
+    /// current revision, so it is asked again until a complete list is accepted.
     async fn handle_response(
         &self,
         client: &mut DiscoveryClient,
@@ -139,7 +139,13 @@
                 return response.outcome(false);
             }
             sleep(RESET_POLL_INTERVAL).await;
-            response = client.fetch_list().await;
+            let check = self.reader.borrow().reset_check(self.created_at.elapsed());
+            response = match check {
+                ResetCheck::CompleteList => client.fetch_list().await,
+                ResetCheck::ChangesAfter(revision) => {
+                    client.poll_changes(revision, Duration::ZERO, LIST_RESPONSE_TIMEOUT).await
+                }
+            };
         }
     }
 
--- a/crates/proxy/src/discovery/reader.rs
+++ b/crates/proxy/src/discovery/reader.rs
@@ -7,7 +7,7 @@
 use crate::endpoints::{stable_id, Endpoint, Endpoints};
 use mintshelf_balancer::api::{EndpointState, ListKind, ListedServer};
 use mintshelf_config::platform::Names;
-use mintshelf_discovery::revision::{RevisionTracker, Verdict};
+use mintshelf_discovery::revision::{ResetCheck, RevisionTracker, Verdict};
 use std::time::Duration;
 
 /// Set in the numbers of zones and models that the settings do not name.
@@ -116,6 +116,12 @@
         self.revision.evaluate(now, revision, is_valid && list.has_all_endpoints)
     }
 
+    /// What to ask for next, after a list was suspect.
+    #[must_use]
+    pub fn reset_check(&self, now: Duration) -> ResetCheck {
+        self.revision.reset_check(now)
+    }
+
     /// Where the reader writes what is listed.
     pub fn endpoints(&self) -> Endpoints {
         self.endpoints.clone()
