Platform: time that a request waited for its turn counts on new connections too

Change: the beat is a task; the moment before which a connection cannot have come goes back by the lag, and a request that is there when its connection is first looked at has waited since then; 500 ms for an unread list. The soak stops the process as soon as it runs ahead of its share, and can keep its logs. The scripted discovery of the races heeds wait_ms, as the protocol says: it held a call that asked for no wait for 300 ms, and a replica that lags for over a second is one that was reset.

--- a/crates/mintshelf/src/platform.rs
+++ b/crates/mintshelf/src/platform.rs
@@ -149,7 +149,6 @@
     tokio::select! {
         () = inbound.accept(listener) => {}
         () = runtime.run() => {}
-        () = handler.monitor_loop() => {}
         () = reload_on_signal(&mut signals.hangup, &file, &name, &runtime) => {}
         () = shutdown => {}
     }
--- a/crates/mintshelf/tests/races/discovery.rs
+++ b/crates/mintshelf/tests/races/discovery.rs
@@ -34,7 +34,7 @@
     script: Arc<Mutex<Vec<Reaction>>>,
 }
 
-/// How long a call for news waits here where there is none.
+/// How long a call for news waits here where there is none; shorter if it asks for less.
 const NO_NEWS: Duration = Duration::from_millis(300);
 
 impl Scripted {
@@ -78,7 +78,7 @@
     match reaction {
         Reaction::List(rev) => {
             if call.after() == Some(rev) {
-                thread::sleep(NO_NEWS);
+                thread::sleep(NO_NEWS.min(call.wait()));
             }
             let text = json!({"rev": rev, "all": true, "targets": list(rev)}).to_string();
             to.write_all(&ok_response(&text)).is_ok()
--- a/crates/proxy/src/client/accept_queue.rs
+++ b/crates/proxy/src/client/accept_queue.rs
@@ -3,6 +3,7 @@
 use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::unconstrained;
 use tokio::time::Instant;
@@ -30,18 +31,22 @@
     }
 
     /// Accepts the next connection. The earliest moment at which it may have arrived is when the
-    /// first one arrived after the queue was last empty.
+    /// first one arrived after the queue was last empty: `loop_lag` before that was noticed.
     ///
     /// # Errors
     /// The system's, as where the process has no descriptor left.
-    pub(super) async fn accept(&mut self) -> io::Result<AcceptedConnection> {
+    pub(super) async fn accept(
+        &mut self,
+        loop_lag: impl Fn() -> Duration,
+    ) -> io::Result<AcceptedConnection> {
         // Unconstrained, as out of its budget a poll would be pending although connections wait.
         let accepted = unconstrained(poll_fn(|cx| {
             let polled = self.listener.poll_accept(cx);
             if polled.is_pending() {
                 self.is_watched = true;
             } else if std::mem::take(&mut self.is_watched) {
-                self.nonempty_since = Instant::now();
+                let now = Instant::now();
+                self.nonempty_since = now.checked_sub(loop_lag()).unwrap_or(now);
             }
             polled
         }));
--- a/crates/proxy/src/client/handler.rs
+++ b/crates/proxy/src/client/handler.rs
@@ -11,6 +11,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
+use std::time::Duration;
 
 /// The body of a response to a client: complete, or as a server sends it.
 pub type ResponseBody = MessageBody<Box<ResponseStream>>;
@@ -31,6 +32,11 @@
     /// with its own.
     const HEADERS_MAX: Option<usize> = None;
 
+    /// How long what is read now may have waited unnoticed, where that is followed.
+    fn loop_lag(&self) -> Duration {
+        Duration::ZERO
+    }
+
     /// Responds to one request. Once the shutdown is announced every response closes its
     /// connection, whatever the handler says. Where the handler sends on what it reads it enters
     /// [`Phase::Busy`](super::connection::Phase::Busy) on the client first.
--- a/crates/proxy/src/client/listener.rs
+++ b/crates/proxy/src/client/listener.rs
@@ -74,12 +74,11 @@
             if self.capacity.available_permits() < low_capacity {
                 self.clients.evict_one(MIN_EVICTION_AGE);
             }
-            match queue.accept().await {
+            match queue.accept(|| self.handler.loop_lag()).await {
                 Ok(accepted) => {
                     // Accepted before there is capacity for it, so that it is known when it arrived.
                     let Some(permit) = self.acquire_capacity().await else { return };
-                    let queued = accepted.arrived_after.elapsed();
-                    spawn_local(self.clone().serve_connection(accepted, queued, permit));
+                    spawn_local(self.clone().serve_connection(accepted, permit));
                 }
                 // Out of descriptors, accept fails at once and for ever.
                 Err(_) => sleep(ACCEPT_RETRY_INTERVAL).await,
--- a/crates/proxy/src/client/serve.rs
+++ b/crates/proxy/src/client/serve.rs
@@ -38,18 +38,21 @@
 }
 
 impl<H: RequestHandler> ClientListener<H> {
-    /// Serves a connection to its end. It waited to be accepted for at most `queued`, and counts in
-    /// the budget by `_permit`.
+    /// Serves a connection to its end. It counts in the budget by `_permit`.
     pub(super) async fn serve_connection(
         self: Rc<Self>,
         accepted: AcceptedConnection,
-        queued: Duration,
         _permit: OwnedSemaphorePermit,
     ) {
         if accepted.stream.set_nodelay(true).is_err() {
             return;
         }
         let stream = Rc::new(RefCell::new(accepted.stream));
+        // A request that is there already has waited for up to as long as its connection.
+        let queued = match pending(&stream) {
+            Pending::Bytes => accepted.arrived_after.elapsed(),
+            Pending::Nothing | Pending::End => Duration::ZERO,
+        };
         let client = Client::new(stream.clone(), accepted.peer, self.timeouts, queued);
         let client = Rc::new(client);
         let number = self.clients.add(client.clone());
--- a/crates/proxy/src/endpoints.rs
+++ b/crates/proxy/src/endpoints.rs
@@ -11,9 +11,9 @@
 use tokio::task::yield_now;
 use tokio::time::Instant;
 
-/// Longest wait of a request for a change of the list to be read: well within the time that is
-/// allowed between the notification of a drain and the last request.
-const UNREAD_LIST_WAIT: Duration = Duration::from_millis(100);
+/// Longest wait of a request for a change of the list to be read. A list of thousands of servers may
+/// take a few hundred milliseconds on a small share of a core.
+const UNREAD_LIST_WAIT: Duration = Duration::from_millis(500);
 
 /// What the list states of a server, as far as connections to it go.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/proxy/src/loop_monitor.rs
+++ b/crates/proxy/src/loop_monitor.rs
@@ -1,7 +1,9 @@
 //! How far the event loop is behind: what arrives is read late while it is.
 
 use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
+use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{sleep, Instant};
 
 /// Time between two beats. What arrives waits unnoticed for up to this long.
@@ -9,27 +11,22 @@
 
 /// Measures by a regular timer for how long the event loop has not got round to its work.
 ///
-/// The loop polls sockets and timers together, and wakes the tasks of sockets first. So what waited
-/// to be read while the loop was busy, or the process had no processor, is read before the beat
-/// that was due meanwhile.
+/// The loop polls sockets and timers together, and wakes the tasks of sockets first; tasks run in
+/// the order in which they were woken. So what waited to be read while the loop was busy, or the
+/// process had no processor, is read before the beat that was due meanwhile. That holds for a task
+/// of its own alone: the future that the loop blocks on is polled before all tasks.
 #[derive(Debug)]
 pub struct LoopMonitor {
-    last_beat: Cell<Instant>,
-}
-
-impl Default for LoopMonitor {
-    fn default() -> Self {
-        LoopMonitor { last_beat: Cell::new(Instant::now()) }
-    }
+    last_beat: Rc<Cell<Instant>>,
+    beats: AbortHandle,
 }
 
 impl LoopMonitor {
-    /// Takes the beats; never ends.
-    pub async fn run(&self) {
-        loop {
-            sleep(BEAT_INTERVAL).await;
-            self.last_beat.set(Instant::now());
-        }
+    /// Starts to follow the event loop of this thread; in a `tokio::task::LocalSet`.
+    pub fn start() -> Self {
+        let last_beat = Rc::new(Cell::new(Instant::now()));
+        let beats = spawn_local(take_beats(last_beat.clone())).abort_handle();
+        LoopMonitor { last_beat, beats }
     }
 
     /// How long what is read now may have waited, beyond a beat's interval.
@@ -37,3 +34,16 @@
         self.last_beat.get().elapsed().saturating_sub(BEAT_INTERVAL)
     }
 }
+
+impl Drop for LoopMonitor {
+    fn drop(&mut self) {
+        self.beats.abort();
+    }
+}
+
+async fn take_beats(last_beat: Rc<Cell<Instant>>) {
+    loop {
+        sleep(BEAT_INTERVAL).await;
+        last_beat.set(Instant::now());
+    }
+}
--- a/crates/proxy/src/platform/handler.rs
+++ b/crates/proxy/src/platform/handler.rs
@@ -54,15 +54,10 @@
     ) -> Rc<Self> {
         let body_budget = budget.bodies.clone();
         let shutdown = Cell::new(None);
-        let loop_monitor = LoopMonitor::default();
+        let loop_monitor = LoopMonitor::start();
         Rc::new(PlatformHandler { runtime, settings, names, body_budget, loop_monitor, shutdown })
     }
 
-    /// Follows how late requests are read; never ends.
-    pub async fn monitor_loop(&self) {
-        self.loop_monitor.run().await;
-    }
-
     /// Announces the shutdown, of classes whose longest deadline is this; all open requests
     /// get their final responses in the time that is left. Returns when they have.
     pub async fn shut_down(&self, longest_deadline: Duration) {
@@ -140,6 +135,10 @@
 impl RequestHandler for PlatformHandler {
     const HEADERS_MAX: Option<usize> = Some(HEADERS_MAX);
 
+    fn loop_lag(&self) -> Duration {
+        self.loop_monitor.lag()
+    }
+
     async fn respond(self: Rc<Self>, request: ClientRequest) -> Response<ResponseBody> {
         let ClientRequest { client, request, is_draining } = request;
         let queued = client.take_queued().max(self.loop_monitor.lag());
--- a/crates/test-support/src/message.rs
+++ b/crates/test-support/src/message.rs
@@ -2,6 +2,7 @@
 
 use std::io::Read;
 use std::net::TcpStream;
+use std::time::Duration;
 
 /// An HTTP message: its head up to the blank line, and its body.
 #[derive(Debug, Clone, Default)]
@@ -45,6 +46,15 @@
         Some(value.split('&').next().unwrap().parse().unwrap())
     }
 
+    /// How long a call to discovery asks to wait for a newer list; zero if it does not say.
+    ///
+    /// # Panics
+    /// The parameter is not a number.
+    pub fn wait(&self) -> Duration {
+        let wait = self.path().split_once("wait_ms=").map(|(_, value)| value.split('&').next());
+        Duration::from_millis(wait.flatten().map_or(0, |wait| wait.parse().unwrap()))
+    }
+
     /// Reads the next message; none at the end of the connection.
     ///
     /// # Panics
--- a/crates/test-support/src/soak/cpu_limit.rs
+++ b/crates/test-support/src/soak/cpu_limit.rs
@@ -42,23 +42,32 @@
 
 fn limit(pid: u32, thousandths: u32, is_over: &AtomicBool) {
     let Some(process) = Pid::from_raw(pid as i32) else { return };
-    let started_at = Instant::now();
     let Some(mut used_before) = cpu_time(pid) else { return };
-    let mut credited_until = started_at;
+    let mut paid_until = Instant::now();
     while !is_over.load(Ordering::Relaxed) {
         thread::sleep(SLICE);
-        let Some(used) = cpu_time(pid) else { return };
-        let owed = (used - used_before) * 1_000 / thousandths;
-        credited_until = (credited_until + owed).max(Instant::now() - share_of(BURST, thousandths));
-        used_before = used;
-        let ahead = credited_until.saturating_duration_since(Instant::now());
-        if ahead > SLICE && kill_process(process, Signal::STOP).is_ok() {
-            thread::sleep(ahead);
+        // The kernel accounts for a process that runs at its next tick alone, but for one that it
+        // stops at once.
+        let is_stopped = is_running(pid) && kill_process(process, Signal::STOP).is_ok();
+        if let Some(used) = cpu_time(pid) {
+            let earliest = Instant::now() - share_of(BURST, thousandths);
+            let owed = (used - used_before) * 1_000 / thousandths;
+            paid_until = paid_until.max(earliest) + owed;
+            used_before = used;
+        }
+        if is_stopped {
+            thread::sleep(paid_until.saturating_duration_since(Instant::now()));
             let _ = kill_process(process, Signal::CONT);
         }
     }
 }
 
+/// Whether a process has or waits for a processor.
+fn is_running(pid: u32) -> bool {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    stat.rsplit(") ").next().is_some_and(|fields| fields.starts_with('R'))
+}
+
 /// Time in which a share of a core gives this much CPU time.
 fn share_of(cpu: Duration, thousandths: u32) -> Duration {
     Duration::from_nanos(cpu.as_nanos() as u64 * NANOS_PER_THOUSANDTH / u64::from(thousandths))
--- a/crates/test-support/src/soak/discovery.rs
+++ b/crates/test-support/src/soak/discovery.rs
@@ -128,7 +128,7 @@
             let mut revision = self.revision.subscribe();
             let newer = revision.wait_for(|revision| *revision > after);
             tokio::select! {
-                _ = timeout(wait_of(call), newer) => {}
+                _ = timeout(call.wait(), newer) => {}
                 () = stream.ended() => return false,
             }
         }
@@ -185,12 +185,6 @@
     }
 }
 
-fn wait_of(call: &Message) -> Duration {
-    let (_, wait) = call.path().split_once("wait_ms=").unwrap_or(("", "0"));
-    let wait = wait.split('&').next().and_then(|wait| wait.parse().ok());
-    Duration::from_millis(wait.unwrap_or(0))
-}
-
 fn reset(stream: &MessageStream) {
     let _ = socket2::SockRef::from(&stream.stream).set_linger(Some(Duration::ZERO));
 }
--- a/crates/test-support/src/soak/run.rs
+++ b/crates/test-support/src/soak/run.rs
@@ -32,6 +32,8 @@
 const LATE_CONNECTS: Duration = Duration::from_millis(300);
 /// How long a run goes on after its last restart.
 const AFTER_RESTART: Duration = Duration::from_secs(2);
+/// Environment variable with a folder for the processes' logs; `MINTSHELF_LOG` says what they have.
+const LOGS_VARIABLE: &str = "MINTSHELF_SOAK_LOGS";
 /// Connections for which the configuration has room.
 const SOCKETS: usize = 256;
 const MEMORY_MB: usize = 48;
@@ -285,11 +287,20 @@
         config
     }
 
+    /// Where the process's log goes: a file for each start in the folder that the environment names.
+    fn log(&self) -> Stdio {
+        let Some(folder) = std::env::var_os(LOGS_VARIABLE) else { return Stdio::null() };
+        let start = self.records.borrow().shutdowns.len() + 1;
+        let name = format!("soak-{}-{start}.log", self.scenario.seed);
+        let file = std::fs::File::create(PathBuf::from(folder).join(name));
+        file.expect("a log file").into()
+    }
+
     /// Starts the process and waits until it is ready.
     async fn start(&mut self) {
         self.write_config();
         let mut command = Command::new(&self.program);
-        command.env("RELAY_CONFIG", self.file()).stdout(Stdio::null()).stderr(Stdio::null());
+        command.env("RELAY_CONFIG", self.file()).stdout(Stdio::null()).stderr(self.log());
         let child = Running(command.spawn().expect("the program starts"));
         let thousandths = self.scenario.cpu_thousandths;
         self.cpu_limit = thousandths.map(|thousandths| CpuLimit::start(child.pid(), thousandths));
