Discovery: requests wait for a list that is being read; a reset check that fails asks for all

Change: a beat yields, so that the loop polls the sockets first, and counts from its begin. list_arrival.rs follows the discovery connection from unread bytes to the applied list; requests wait for a notification. A response without a revision says nothing of a reset; a check that is not answered in 700 ms is followed by the complete list. The stand-in answers a call that asks for no wait at once.

--- a/crates/proxy/src/discovery/client.rs
+++ b/crates/proxy/src/discovery/client.rs
@@ -1,7 +1,7 @@
 //! HTTP client for the discovery service: one request at a time on one connection.
 
-use crate::endpoints::Endpoints;
-use crate::tcp::{ObservedStream, SharedStream, TrafficObserver};
+use crate::list_arrival::ListArrival;
+use crate::tcp::ObservedStream;
 use bytes::Bytes;
 use http_body_util::Empty;
 use hyper::body::{Body, Incoming};
@@ -52,28 +52,25 @@
     }
 }
 
-struct NoWatcher;
-impl TrafficObserver for NoWatcher {}
-
-type HttpConnection = Connection<TokioIo<ObservedStream<NoWatcher>>, Empty<Bytes>>;
+type HttpConnection = Connection<TokioIo<ObservedStream<ListArrival>>, Empty<Bytes>>;
 
 /// A connection to the service, reused for several requests.
 struct DiscoveryConnection {
     sender: SendRequest<Empty<Bytes>>,
     connection: Pin<Box<HttpConnection>>,
-    stream: SharedStream,
     is_open: bool,
 }
 
 impl DiscoveryConnection {
-    async fn open(address: SocketAddr) -> Option<Self> {
+    async fn open(address: SocketAddr, arrival: &Rc<ListArrival>) -> Option<Self> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         let stream = Rc::new(RefCell::new(stream));
-        let socket = ObservedStream::new(stream.clone(), Rc::new(NoWatcher), Bytes::new());
+        arrival.follow(&stream);
+        let socket = ObservedStream::new(stream, arrival.clone(), Bytes::new());
         let (sender, connection) = handshake(TokioIo::new(socket)).await.ok()?;
         let connection = Box::pin(connection);
-        Some(DiscoveryConnection { sender, connection, stream, is_open: true })
+        Some(DiscoveryConnection { sender, connection, is_open: true })
     }
 
     /// Lets the connection read and write, and notes whether it has ended.
@@ -128,14 +125,13 @@
 pub struct DiscoveryClient {
     address: SocketAddr,
     connection: Option<DiscoveryConnection>,
-    /// Learns on which connection lists arrive.
-    endpoints: Endpoints,
+    arrival: Rc<ListArrival>,
 }
 
 impl DiscoveryClient {
-    /// A client without a connection; the first request opens one.
-    pub fn new(address: SocketAddr, endpoints: Endpoints) -> Self {
-        DiscoveryClient { address, connection: None, endpoints }
+    /// A client without a connection; the first request opens one, which `arrival` follows.
+    pub fn new(address: SocketAddr, arrival: Rc<ListArrival>) -> Self {
+        DiscoveryClient { address, connection: None, arrival }
     }
 
     /// Where it sends its requests.
@@ -185,11 +181,7 @@
         let idle = self.connection.take();
         match idle.and_then(|mut connection| connection.is_ready().then_some(connection)) {
             Some(connection) => Some(connection),
-            None => {
-                let connection = DiscoveryConnection::open(self.address).await?;
-                self.endpoints.follow_lists(&connection.stream);
-                Some(connection)
-            }
+            None => DiscoveryConnection::open(self.address, &self.arrival).await,
         }
     }
 }
--- a/crates/proxy/src/discovery/mod.rs
+++ b/crates/proxy/src/discovery/mod.rs
@@ -6,7 +6,7 @@
 mod server_numbers;
 
 use crate::endpoints::EndpointListObserver;
-use client::{DiscoveryClient, ReceivedBody, LIST_RESPONSE_TIMEOUT};
+use client::{DiscoveryClient, ReceivedBody};
 use list::EndpointList;
 use mintshelf_balancer::api::ListKind;
 use mintshelf_discovery::revision::{ResetCheck, Verdict, RESET_POLL_INTERVAL};
@@ -20,6 +20,9 @@
 
 /// Least time between the starts of two polls of a watch, short enough to keep it established.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// How long the response to a call that asks for no wait may take to begin, before the complete list
+/// is asked for in its place.
+const RESET_CHECK_TIMEOUT: Duration = Duration::from_millis(700);
 /// Least time between two polls of a push agent, which answers at once even without changes.
 const AGENT_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// How long an agent is asked to wait for changes: no longer, as another may take its place.
@@ -63,7 +66,7 @@
     }
 
     fn connect(&self) -> DiscoveryClient {
-        DiscoveryClient::new(self.address.get(), self.reader.borrow().endpoints())
+        DiscoveryClient::new(self.address.get(), self.reader.borrow().arrival())
     }
 
     /// Watches until a call fails.
@@ -133,20 +136,29 @@
             let verdict = self.reader.borrow_mut().evaluate(now, &list, is_valid);
             if verdict == Verdict::Accept {
                 self.apply(list, &response, observer);
+            }
+            self.reader.borrow().arrival().response_handled();
+            if verdict == Verdict::Accept {
                 return response.outcome(is_valid);
             }
             if !is_valid || client.address() != self.address.get() {
                 return response.outcome(false);
             }
             sleep(RESET_POLL_INTERVAL).await;
-            let check = self.reader.borrow().reset_check(self.created_at.elapsed());
-            response = match check {
-                ResetCheck::CompleteList => client.fetch_list().await,
-                ResetCheck::ChangesAfter(revision) => {
-                    client.poll_changes(revision, Duration::ZERO, LIST_RESPONSE_TIMEOUT).await
-                }
-            };
+            response = self.check_for_reset(client).await;
+        }
+    }
+
+    /// The next response of a service that may have been reset.
+    async fn check_for_reset(&self, client: &mut DiscoveryClient) -> ReceivedBody {
+        let check = self.reader.borrow().reset_check(self.created_at.elapsed());
+        if let ResetCheck::ChangesAfter(revision) = check {
+            let changes = client.poll_changes(revision, Duration::ZERO, RESET_CHECK_TIMEOUT).await;
+            if changes.is_complete {
+                return changes;
+            }
         }
+        client.fetch_list().await
     }
 
     fn apply(
--- a/crates/proxy/src/discovery/reader.rs
+++ b/crates/proxy/src/discovery/reader.rs
@@ -5,9 +5,11 @@
 use super::server_numbers::ServerNumbers;
 use crate::clock::nanos;
 use crate::endpoints::{stable_id, Endpoint, Endpoints};
+use crate::list_arrival::ListArrival;
 use mintshelf_balancer::api::{EndpointState, ListKind, ListedServer};
 use mintshelf_config::platform::Names;
 use mintshelf_discovery::revision::{ResetCheck, RevisionTracker, Verdict};
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Set in the numbers of zones and models that the settings do not name.
@@ -111,8 +113,9 @@
     /// `is_valid`: the list is well formed and its response came to its end.
     #[must_use]
     pub fn evaluate(&mut self, now: Duration, list: &EndpointList, is_valid: bool) -> Verdict {
-        // A response that was truncated before its revision counts as current.
-        let revision = list.revision.unwrap_or(self.revision.current());
+        // A response that was truncated before its revision, or that did not come, counts as
+        // current. It says nothing of whether the service was reset.
+        let Some(revision) = list.revision else { return Verdict::Accept };
         self.revision.evaluate(now, revision, is_valid && list.has_all_endpoints)
     }
 
@@ -122,9 +125,9 @@
         self.revision.reset_check(now)
     }
 
-    /// Where the reader writes what is listed.
-    pub fn endpoints(&self) -> Endpoints {
-        self.endpoints.clone()
+    /// Follows the connection on which the lists arrive.
+    pub fn arrival(&self) -> Rc<ListArrival> {
+        self.endpoints.arrival()
     }
 
     /// Revision of the last valid list; 0 before the first.
--- a/crates/proxy/src/endpoints.rs
+++ b/crates/proxy/src/endpoints.rs
@@ -1,19 +1,11 @@
 //! Where servers listen, and how the lists of them reach a cluster's runtime.
 
-use crate::tcp::{pending, Pending, SharedStream};
+use crate::list_arrival::ListArrival;
 use mintshelf_balancer::api::{ListKind, ListedServer, ServerId};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::{Rc, Weak};
-use std::time::Duration;
-use tokio::net::TcpStream;
-use tokio::task::yield_now;
-use tokio::time::Instant;
-
-/// Longest wait of a request for a change of the list to be read. A list of thousands of servers may
-/// take a few hundred milliseconds on a small share of a core.
-const UNREAD_LIST_WAIT: Duration = Duration::from_millis(500);
+use std::rc::Rc;
 
 /// What the list states of a server, as far as connections to it go.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -32,8 +24,7 @@
 #[derive(Debug, Default)]
 struct SharedEndpoints {
     by_server: RefCell<HashMap<ServerId, Endpoint>>,
-    /// The connection on which changes of the list arrive, while there is one.
-    list_stream: RefCell<Weak<RefCell<TcpStream>>>,
+    arrival: Rc<ListArrival>,
 }
 
 impl Endpoints {
@@ -64,25 +55,9 @@
         self.0.by_server.borrow_mut().clear();
     }
 
-    /// Sets the connection on which changes of the list arrive.
-    pub fn follow_lists(&self, stream: &SharedStream) {
-        *self.0.list_stream.borrow_mut() = Rc::downgrade(stream);
-    }
-
-    /// Waits until no change of the list waits to be read, at most for [`UNREAD_LIST_WAIT`].
-    ///
-    /// Tasks take turns. Where many requests are due at once, the one that reads the list comes
-    /// behind them, and they would be sent to servers that are known to drain.
-    pub async fn list_is_read(&self) {
-        let started_at = Instant::now();
-        while self.has_unread_list() && started_at.elapsed() < UNREAD_LIST_WAIT {
-            yield_now().await;
-        }
-    }
-
-    fn has_unread_list(&self) -> bool {
-        let stream = self.0.list_stream.borrow().upgrade();
-        stream.is_some_and(|stream| pending(&stream) == Pending::Bytes)
+    /// How a change of the list arrives.
+    pub fn arrival(&self) -> Rc<ListArrival> {
+        self.0.arrival.clone()
     }
 
     /// How many servers are listed.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod endpoints;
 pub mod gateway;
 pub mod headers;
+pub mod list_arrival;
 pub mod loop_monitor;
 pub mod platform;
 pub mod request_log;
--- /dev/null
+++ b/crates/proxy/src/list_arrival.rs
@@ -0,0 +1,68 @@
+//! Whether a change of the endpoint list is on its way from the socket to the cluster.
+
+use crate::tcp::{pending, Pending, SharedStream, TrafficObserver};
+use std::cell::{Cell, RefCell};
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::{timeout, Instant};
+
+/// Longest wait of a request for a list to be applied. One of thousands of servers may take a few
+/// hundred milliseconds on a small share of a core.
+const MAX_WAIT: Duration = Duration::from_millis(500);
+/// A response of which nothing has been read for longer comes slowly from discovery itself, and is
+/// not waited for.
+const PROGRESS_GAP: Duration = Duration::from_millis(30);
+
+/// Follows the connection on which lists arrive.
+#[derive(Debug, Default)]
+pub struct ListArrival {
+    stream: RefCell<Weak<RefCell<TcpStream>>>,
+    /// When bytes of a response that has not been handled yet were last read.
+    read_at: Cell<Option<Instant>>,
+    handled: Notify,
+}
+
+impl ListArrival {
+    /// Sets the connection on which lists arrive.
+    pub fn follow(&self, stream: &SharedStream) {
+        *self.stream.borrow_mut() = Rc::downgrade(stream);
+    }
+
+    /// Reports that a response has been handled: its list, if it had one, is applied.
+    pub fn response_handled(&self) {
+        self.read_at.set(None);
+        self.handled.notify_waiters();
+    }
+
+    /// Waits until no list is on its way, at most for [`MAX_WAIT`].
+    ///
+    /// Tasks take turns. Where many requests are due at once, the task that reads the list comes
+    /// behind them, and they would be sent to servers that are known to drain.
+    pub async fn settled(&self) {
+        let started_at = Instant::now();
+        while self.is_arriving() && started_at.elapsed() < MAX_WAIT {
+            // Whether it was handled or the gap is over shows at the next look.
+            let _ = timeout(PROGRESS_GAP, self.handled.notified()).await;
+        }
+    }
+
+    fn is_arriving(&self) -> bool {
+        let is_read = self.read_at.get().is_some_and(|at| at.elapsed() < PROGRESS_GAP);
+        is_read || self.has_unread()
+    }
+
+    fn has_unread(&self) -> bool {
+        let stream = self.stream.borrow().upgrade();
+        stream.is_some_and(|stream| pending(&stream) == Pending::Bytes)
+    }
+}
+
+impl TrafficObserver for ListArrival {
+    fn read(&self, bytes: &[u8]) {
+        if !bytes.is_empty() {
+            self.read_at.set(Some(Instant::now()));
+        }
+    }
+}
--- a/crates/proxy/src/loop_monitor.rs
+++ b/crates/proxy/src/loop_monitor.rs
@@ -3,18 +3,20 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::task::{spawn_local, AbortHandle};
+use tokio::task::{spawn_local, yield_now, AbortHandle};
 use tokio::time::{sleep, Instant};
 
 /// Time between two beats. What arrives waits unnoticed for up to this long.
 const BEAT_INTERVAL: Duration = Duration::from_millis(50);
+/// A beat that takes longer is followed by another at once.
+const LATE_BEAT: Duration = Duration::from_millis(10);
 
-/// Measures by a regular timer for how long the event loop has not got round to its work.
+/// Measures by a regular beat for how long the event loop has not got round to its work.
 ///
-/// The loop polls sockets and timers together, and wakes the tasks of sockets first; tasks run in
-/// the order in which they were woken. So what waited to be read while the loop was busy, or the
-/// process had no processor, is read before the beat that was due meanwhile. That holds for a task
-/// of its own alone: the future that the loop blocks on is polled before all tasks.
+/// A beat yields. The loop then polls the sockets, wakes their tasks, and the beat's task behind
+/// them; tasks run in the order in which they were woken. So all that had come before the beat has
+/// been read when it ends, and the beat counts from its begin. That holds for a task of its own
+/// alone: the future that the loop blocks on is polled before all tasks.
 #[derive(Debug)]
 pub struct LoopMonitor {
     last_beat: Rc<Cell<Instant>>,
@@ -44,6 +46,13 @@
 async fn take_beats(last_beat: Rc<Cell<Instant>>) {
     loop {
         sleep(BEAT_INTERVAL).await;
-        last_beat.set(Instant::now());
+        loop {
+            let began_at = Instant::now();
+            yield_now().await;
+            last_beat.set(began_at);
+            if began_at.elapsed() < LATE_BEAT {
+                break;
+            }
+        }
     }
 }
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -111,7 +111,7 @@
             Ok(connection) => connection,
             Err(outcome) => return outcome.into(),
         };
-        self.list_is_read().await;
+        self.list_settled().await;
         control.connected();
         // The connection may have taken so long that servers have forgotten the request's key,
         // that its client has disconnected, or that the server is draining.
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -118,9 +118,9 @@
         })
     }
 
-    /// Waits until no change of the list of servers waits to be read.
-    pub(super) async fn list_is_read(&self) {
-        self.endpoints.list_is_read().await;
+    /// Waits until no change of the list of servers is on its way.
+    pub(super) async fn list_settled(&self) {
+        self.endpoints.arrival().settled().await;
     }
 
     /// Whether a server still takes requests where it did when it was chosen.
--- a/crates/test-support/src/discovery.rs
+++ b/crates/test-support/src/discovery.rs
@@ -48,10 +48,12 @@
 
 impl SharedList {
     /// The list as JSON. A watch that knows the current revision waits for a newer one.
-    fn respond(&self, after: Option<u64>) -> String {
+    fn respond(&self, call: &Message) -> String {
+        let after = call.after();
         let current = self.current.lock().unwrap();
         let known = current.revision;
-        let timeout = if after == Some(known) { WATCH_TIMEOUT } else { Duration::ZERO };
+        let waits = after == Some(known) && !call.wait().is_zero();
+        let timeout = if waits { WATCH_TIMEOUT } else { Duration::ZERO };
         let is_unchanged = |list: &mut EndpointList| list.revision == known;
         let waited = self.changed.wait_timeout_while(current, timeout, is_unchanged);
         let (current, _) = waited.unwrap();
@@ -90,7 +92,7 @@
         let counted = calls.clone();
         let accepting = accept_connections(at, move |mut stream| {
             while let Some(call) = Message::read(&mut stream) {
-                let list = served.respond(call.after());
+                let list = served.respond(&call);
                 *counted.lock().unwrap() += 1;
                 if stream.write_all(&ok_response(&list)).is_err() {
                     return;
