--- a/crates/mintshelf/benches/soak.rs
+++ b/crates/mintshelf/benches/soak.rs
@@ -3,9 +3,10 @@
 //!
 //! Each seed is played with that many servers (3,200 unless stated) on a small share of a core, a
 //! few at a time. A seed that broke a rule is printed with what broke. `MINTSHELF_SOAK_PROGRAM`
-//! names another program to play, such as an earlier release.
+//! names another program to play, such as an earlier release. With the word `costs` each seed is
+//! played with 200 servers too, and the platform's table of costs is printed.
 
-use mintshelf_test_support::soak::{run, Scenario};
+use mintshelf_test_support::soak::{costs, run, Scenario};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 
@@ -15,6 +16,8 @@
 const SERVERS: usize = 3_200;
 /// Scenarios that are played at one time: each is two busy threads at most.
 const AT_ONCE: usize = 4;
+/// Servers of a usual fleet.
+const USUAL: usize = 200;
 /// Breaks that are printed of one seed.
 const PRINTED: usize = 5;
 
@@ -24,6 +27,7 @@
     let servers = numbers.get(1).map_or(SERVERS, |count| *count as usize);
     let first = numbers.get(2).copied().unwrap_or(1);
     let program = std::env::var(PROGRAM_VARIABLE).unwrap_or_else(|_| PROGRAM.to_string());
+    let prints_costs = std::env::args().any(|word| word == "costs");
     let next = AtomicU64::new(first);
     let broken = AtomicU64::new(0);
     thread::scope(|scope| {
@@ -34,6 +38,12 @@
                     return;
                 }
                 let report = run(&program, &Scenario::new(seed, servers, true));
+                if prints_costs {
+                    let usual = run(&program, &Scenario::new(seed, USUAL, true));
+                    let rows = costs::compare(&usual, &report, servers);
+                    let lines: Vec<String> = rows.iter().map(ToString::to_string).collect();
+                    println!("seed {seed}: {USUAL} and {servers} servers\n{}", lines.join("\n"));
+                }
                 println!("seed {seed}, {servers} servers: {report}");
                 for violation in report.violations.iter().take(PRINTED) {
                     println!("    {violation}");
--- a/crates/mintshelf/tests/soak.rs
+++ b/crates/mintshelf/tests/soak.rs
@@ -2,7 +2,7 @@
 //! one with a thousand servers. `cargo bench -p mintshelf --bench soak` plays many seeds with
 //! thousands of servers on a small share of a core.
 
-use mintshelf_test_support::soak::{run, Scenario};
+use mintshelf_test_support::soak::{costs, run, Scenario};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_mintshelf");
 /// Violations that are printed of a seed.
@@ -28,3 +28,19 @@
 fn a_fleet_of_a_thousand_servers_keeps_the_rules() {
     assert_keeps_rules(4, 1_000);
 }
+
+/// CPU time is compared in release builds alone: the platform's bound has parts in seconds.
+#[test]
+fn a_large_fleet_costs_no_more_than_the_platform_allows() {
+    const USUAL: usize = 200;
+    const LARGE: usize = 3_200;
+    let seed = 5;
+    let usual = run(PROGRAM, &Scenario::new(seed, USUAL, false));
+    let large = run(PROGRAM, &Scenario::new(seed, LARGE, false));
+    assert!(large.violations.is_empty(), "{large}\n{}", large.violations[0]);
+    for row in costs::compare(&usual, &large, LARGE) {
+        println!("{row}");
+        let is_compared = !(cfg!(debug_assertions) && row.what.starts_with("CPU"));
+        assert!(row.is_kept || !is_compared, "{row}");
+    }
+}
--- a/crates/test-support/src/soak/mod.rs
+++ b/crates/test-support/src/soak/mod.rs
@@ -6,6 +6,7 @@
 //! of the program.
 
 mod clients;
+pub mod costs;
 mod cpu_limit;
 mod discovery;
 pub mod oracle;
--- a/crates/test-support/src/soak/records.rs
+++ b/crates/test-support/src/soak/records.rs
@@ -98,8 +98,14 @@
     pub list_bytes: usize,
     /// Calls that discovery has answered.
     pub list_calls: usize,
-    /// CPU time of all processes.
+    /// CPU time of the processes that have ended.
     pub cpu: Duration,
+    /// CPU time of the one that runs, as last seen.
+    pub cpu_of_current: Duration,
+    /// Most descriptors that any process has had open, as far as was seen.
+    pub descriptors: usize,
+    /// Connections that servers have accepted.
+    pub connections: usize,
     /// Largest resident memory of any process, in bytes.
     pub peak_memory: usize,
     /// Whether idle clients take the descriptors: new connections may be closed unread.
--- a/crates/test-support/src/soak/run.rs
+++ b/crates/test-support/src/soak/run.rs
@@ -34,6 +34,8 @@
 const AFTER_RESTART: Duration = Duration::from_secs(2);
 /// Environment variable with a folder for the processes' logs; `MINTSHELF_LOG` says what they have.
 const LOGS_VARIABLE: &str = "MINTSHELF_SOAK_LOGS";
+/// Time between two looks at what the process uses.
+const USAGE_INTERVAL: Duration = Duration::from_millis(200);
 /// Connections for which the configuration has room.
 const SOCKETS: usize = 256;
 const MEMORY_MB: usize = 48;
@@ -57,6 +59,10 @@
     pub cpu: Duration,
     /// Largest resident memory in bytes.
     pub peak_memory: usize,
+    /// Most descriptors open at one time, as far as was seen.
+    pub descriptors: usize,
+    /// Connections made to servers.
+    pub connections: usize,
 }
 
 impl SoakReport {
@@ -72,6 +78,8 @@
             list_calls: records.list_calls,
             cpu: records.cpu,
             peak_memory: records.peak_memory,
+            descriptors: records.descriptors,
+            connections: records.connections,
         }
     }
 
@@ -146,10 +154,10 @@
     let sending = spawn_local(clients.clone().send_requests(scenario.rate));
     let started_at = tokio::time::Instant::now();
     for (at, event) in &scenario.events {
-        sleep_until(started_at + *at).await;
+        stage.wait_until(started_at + *at).await;
         stage.happen(event).await;
     }
-    sleep_until(started_at + scenario.length).await;
+    stage.wait_until(started_at + scenario.length).await;
     stage.stop().await;
     sending.abort();
     clients.all_ended().await;
@@ -186,6 +194,14 @@
 }
 
 impl Stage {
+    /// Waits, and notes meanwhile what the process uses.
+    async fn wait_until(&self, at: tokio::time::Instant) {
+        while tokio::time::Instant::now() < at {
+            self.note_usage();
+            sleep_until(at.min(tokio::time::Instant::now() + USAGE_INTERVAL)).await;
+        }
+    }
+
     async fn happen(&mut self, event: &Event) {
         match event {
             Event::Join(count) => self.join(*count).await,
@@ -329,39 +345,49 @@
 
     /// SIGTERM, and SIGKILL at the earliest time that the platform allows.
     async fn stop(&mut self) {
-        let Some(mut child) = self.child.take() else { return };
-        if !matches!(child.0.try_wait(), Ok(None)) {
+        if !self.is_running() {
             self.report_fault("the process had ended by itself");
             return;
         }
         let told_at = Instant::now();
-        child.signal("TERM");
+        self.child.iter().for_each(|child| child.signal("TERM"));
         sleep(LATE_CONNECTS).await;
         self.clients.set_may_connect(false);
         let kill_after = self.scenario.deadline.min(KILL_DEADLINE_MAX) + KILL_EXTRA;
-        while told_at.elapsed() < kill_after && matches!(child.0.try_wait(), Ok(None)) {
-            self.note_usage(&child);
+        while told_at.elapsed() < kill_after && self.is_running() {
+            self.note_usage();
             sleep(Duration::from_millis(10)).await;
         }
-        self.records.borrow_mut().shutdowns.push(told_at.elapsed());
         self.cpu_limit = None;
-        drop(child);
+        self.child = None;
+        {
+            let mut records = self.records.borrow_mut();
+            records.shutdowns.push(told_at.elapsed());
+            let used = std::mem::take(&mut records.cpu_of_current);
+            records.cpu += used;
+        }
         self.clients.all_ended().await;
         self.clients.forget_connections();
     }
 
+    fn is_running(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.0.try_wait(), Ok(None)))
+    }
+
     /// Notes what the process has used; it may end meanwhile.
-    fn note_usage(&self, child: &Running) {
-        let pid = child.pid();
+    fn note_usage(&self) {
+        let Some(pid) = self.child.as_ref().map(Running::pid) else { return };
         let Ok(schedstat) = std::fs::read_to_string(format!("/proc/{pid}/schedstat")) else {
             return;
         };
+        let descriptors = std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count);
         let Ok(status) = std::fs::read_to_string(format!("/proc/{pid}/status")) else { return };
         let used = schedstat.split(' ').next().and_then(|used| used.parse().ok()).unwrap_or(0);
         let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
         let peak = peak.and_then(|text| text.split_whitespace().next()?.parse::<usize>().ok());
         let mut records = self.records.borrow_mut();
-        records.cpu = records.cpu.max(Duration::from_nanos(used));
+        records.cpu_of_current = records.cpu_of_current.max(Duration::from_nanos(used));
+        records.descriptors = records.descriptors.max(descriptors);
         records.peak_memory = records.peak_memory.max(peak.unwrap_or(0) << 10);
     }
 
--- a/crates/test-support/src/soak/servers.rs
+++ b/crates/test-support/src/soak/servers.rs
@@ -42,6 +42,7 @@
         let servers = self.clone();
         spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                servers.records.borrow_mut().connections += 1;
                 spawn_local(servers.clone().serve(number, MessageStream::new(stream)));
             }
         });
