Soak: the stage apart from the run, names in the field's terms

Change: report.rs, stage.rs and run.rs; pooled connections, notified servers, baseline fleet. No behaviour.

--- a/crates/mintshelf/tests/soak.rs
+++ b/crates/mintshelf/tests/soak.rs
@@ -41,6 +41,6 @@
     for row in costs::compare(&usual, &large, LARGE) {
         println!("{row}");
         let is_compared = !(cfg!(debug_assertions) && row.what.starts_with("CPU"));
-        assert!(row.is_kept || !is_compared, "{row}");
+        assert!(row.is_within_bound || !is_compared, "{row}");
     }
 }
--- a/crates/test-support/src/soak/clients.rs
+++ b/crates/test-support/src/soak/clients.rs
@@ -15,12 +15,12 @@
 /// A response that comes later than this after its client's time is lost.
 pub(super) const LATE_MAX: Duration = Duration::from_millis(500);
 /// Part of the clients that leave before their response.
-const LEAVING: f64 = 0.03;
+const DISCONNECTING: f64 = 0.03;
 /// Shortest wait of a client, as a part of its class's deadline.
 const LEAST_WAIT: f64 = 0.4;
 
 /// An idle connection, and whether it has carried a request.
-struct Kept {
+struct PooledConnection {
     stream: MessageStream,
     is_reused: bool,
 }
@@ -31,7 +31,7 @@
     deadline: Duration,
     records: Rc<RefCell<Records>>,
     draw: RefCell<Draw>,
-    kept: RefCell<Vec<Kept>>,
+    pooled: RefCell<Vec<PooledConnection>>,
     crowd: RefCell<Vec<TcpStream>>,
     may_connect: Cell<bool>,
     last_transaction: Cell<u64>,
@@ -50,7 +50,7 @@
             deadline,
             records,
             draw: RefCell::new(draw),
-            kept: RefCell::default(),
+            pooled: RefCell::default(),
             crowd: RefCell::default(),
             may_connect: Cell::new(true),
             last_transaction: Cell::new(0),
@@ -61,8 +61,8 @@
     /// Sends requests at random times, never ending.
     pub(super) async fn send_requests(self: Rc<Self>, rate: f64) {
         loop {
-            let pause = -(1.0 - self.draw.borrow_mut().uniform()).ln() / rate;
-            sleep(Duration::from_secs_f64(pause)).await;
+            let wait = -(1.0 - self.draw.borrow_mut().uniform()).ln() / rate;
+            sleep(Duration::from_secs_f64(wait)).await;
             spawn_local(self.clone().send_request());
         }
     }
@@ -83,7 +83,7 @@
 
     /// Drops all idle connections, as when the process is gone.
     pub(super) fn forget_connections(&self) {
-        self.kept.borrow_mut().clear();
+        self.pooled.borrow_mut().clear();
         self.crowd.borrow_mut().clear();
     }
 
@@ -94,19 +94,19 @@
         }
     }
 
-    async fn connection(&self) -> Option<Kept> {
-        if let Some(kept) = self.kept.borrow_mut().pop() {
-            return Some(kept);
+    async fn connection(&self) -> Option<PooledConnection> {
+        if let Some(pooled) = self.pooled.borrow_mut().pop() {
+            return Some(pooled);
         }
         self.new_connection().await
     }
 
-    async fn new_connection(&self) -> Option<Kept> {
+    async fn new_connection(&self) -> Option<PooledConnection> {
         if !self.may_connect.get() {
             return None;
         }
         let stream = TcpStream::connect(self.address).await.ok()?;
-        Some(Kept { stream: MessageStream::new(stream), is_reused: false })
+        Some(PooledConnection { stream: MessageStream::new(stream), is_reused: false })
     }
 
     async fn send_request(self: Rc<Self>) {
@@ -121,17 +121,17 @@
     async fn request(&self) -> Option<RequestRecord> {
         let (class, timeout, leaves_after) = self.draw_request();
         let transaction = self.next_transaction();
-        let mut kept = self.connection().await?;
-        let mut sent_at = self.write(&mut kept, class, &transaction, timeout).await?;
-        let mut ending = self.ending(&mut kept, timeout, leaves_after).await;
+        let mut pooled = self.connection().await?;
+        let mut sent_at = self.write(&mut pooled, class, &transaction, timeout).await?;
+        let mut ending = self.ending(&mut pooled, timeout, leaves_after).await;
         if ending == (Ending::Closed { is_reused: true }) {
             // The end of the idle connection may have crossed the request: it is sent once more.
-            kept = self.new_connection().await?;
-            sent_at = self.write(&mut kept, class, &transaction, timeout).await?;
-            ending = self.ending(&mut kept, timeout, leaves_after).await;
+            pooled = self.new_connection().await?;
+            sent_at = self.write(&mut pooled, class, &transaction, timeout).await?;
+            ending = self.ending(&mut pooled, timeout, leaves_after).await;
         }
         let ended_at = Instant::now();
-        self.keep(kept, &ending);
+        self.keep(pooled, &ending);
         Some(RequestRecord { transaction, class, sent_at, timeout, ending, ended_at })
     }
 
@@ -140,7 +140,7 @@
         let class = Class::ALL[draw.between(0, Class::ALL.len() - 1)];
         let part = LEAST_WAIT + (1.0 - LEAST_WAIT) * draw.uniform();
         let timeout = self.deadline.mul_f64(part);
-        let leaves = draw.is_chosen(LEAVING);
+        let leaves = draw.is_chosen(DISCONNECTING);
         let leaves_after = leaves.then(|| timeout.mul_f64(draw.uniform()));
         (class, timeout, leaves_after)
     }
@@ -154,7 +154,7 @@
     /// Writes a request; when its last byte was written, or none if the connection took none.
     async fn write(
         &self,
-        kept: &mut Kept,
+        pooled: &mut PooledConnection,
         class: Class,
         transaction: &str,
         timeout: Duration,
@@ -172,35 +172,35 @@
             body.len()
         );
         // A connection that takes no more has ended; its reading shows how.
-        let _ = kept.stream.write(request.as_bytes()).await;
+        let _ = pooled.stream.write(request.as_bytes()).await;
         Some(Instant::now())
     }
 
     async fn ending(
         &self,
-        kept: &mut Kept,
+        pooled: &mut PooledConnection,
         client_timeout: Duration,
         leaves_after: Option<Duration>,
     ) -> Ending {
         let wait = leaves_after.unwrap_or(client_timeout + LATE_MAX);
-        match timeout(wait, kept.stream.read()).await {
+        match timeout(wait, pooled.stream.read()).await {
             Err(_) if leaves_after.is_some() => Ending::Left,
             Err(_) => Ending::Silence,
-            Ok(Received::Nothing) => Ending::Closed { is_reused: kept.is_reused },
+            Ok(Received::Nothing) => Ending::Closed { is_reused: pooled.is_reused },
             Ok(Received::Part) => Ending::Broken,
             Ok(Received::Message(response, _)) => {
                 let body = String::from_utf8_lossy(&response.body).into_owned();
                 let closes = response.header("connection").is_some_and(|value| value == "close");
-                kept.is_reused = !closes;
+                pooled.is_reused = !closes;
                 Ending::Response(response.status(), body)
             }
         }
     }
 
     /// Keeps a connection for the next request, unless it ends.
-    fn keep(&self, kept: Kept, ending: &Ending) {
-        if matches!(ending, Ending::Response(..)) && kept.is_reused {
-            self.kept.borrow_mut().push(kept);
+    fn keep(&self, pooled: PooledConnection, ending: &Ending) {
+        if matches!(ending, Ending::Response(..)) && pooled.is_reused {
+            self.pooled.borrow_mut().push(pooled);
         }
     }
 }
--- a/crates/test-support/src/soak/costs.rs
+++ b/crates/test-support/src/soak/costs.rs
@@ -1,7 +1,7 @@
 //! What a run may cost in a large fleet, against the same run in a usual one: the platform's table
 //! of costs.
 
-use super::run::SoakReport;
+use super::report::SoakReport;
 use std::fmt;
 
 const KB: f64 = 1024.0;
@@ -14,20 +14,20 @@
     /// What it costs, with the unit.
     pub what: &'static str,
     /// The cost in the usual fleet.
-    pub usual: f64,
+    pub baseline: f64,
     /// The cost in the large one.
     pub large: f64,
     /// The bound of the latter: at most that, or for the share served at least that.
     pub bound: f64,
     /// Whether it is kept.
-    pub is_kept: bool,
+    pub is_within_bound: bool,
 }
 
 impl fmt::Display for CostRow {
     fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
-        let CostRow { what, usual, large, bound, is_kept } = self;
-        let verdict = if *is_kept { "kept" } else { "BROKEN" };
-        write!(formatter, "{what:<24} {usual:>10.2} {large:>10.2} bound {bound:>10.2} {verdict}")
+        let CostRow { what, baseline, large, bound, is_within_bound } = self;
+        let verdict = if *is_within_bound { "within" } else { "BROKEN" };
+        write!(formatter, "{what:<24} {baseline:>10.2} {large:>10.2} bound {bound:>10.2} {verdict}")
     }
 }
 
@@ -39,16 +39,16 @@
 }
 
 /// Compares a run in a fleet of `servers` with the same in a usual one.
-pub fn compare(usual: &SoakReport, large: &SoakReport, servers: usize) -> Vec<CostRow> {
+pub fn compare(baseline: &SoakReport, large: &SoakReport, servers: usize) -> Vec<CostRow> {
     let thousands = servers as f64 / THOUSAND;
     let at_most = |what, cost: fn(&SoakReport) -> f64, bound: Bound| {
-        let bound = cost(usual) * bound.times + bound.plus + bound.per_thousand * thousands;
+        let bound = cost(baseline) * bound.times + bound.plus + bound.per_thousand * thousands;
         let large = cost(large);
-        CostRow { what, usual: cost(usual), large, bound, is_kept: large <= bound }
+        CostRow { what, baseline: cost(baseline), large, bound, is_within_bound: large <= bound }
     };
     let bound = |times, plus, per_thousand| Bound { times, plus, per_thousand };
     let share = |report: &SoakReport| report.served as f64 / report.requests.max(1) as f64;
-    let least_share = 0.85 * share(usual);
+    let least_share = 0.85 * share(baseline);
     vec![
         at_most("CPU, s", |report| report.cpu.as_secs_f64(), bound(1.4, 0.02, 0.03)),
         at_most("peak memory, MB", |report| report.peak_memory as f64 / MB, bound(1.5, 8.0, 4.0)),
@@ -61,10 +61,10 @@
         at_most("lists, KB", |report| report.list_bytes as f64 / KB, bound(2.0, 64.0, 500.0)),
         CostRow {
             what: "share served",
-            usual: share(usual),
+            baseline: share(baseline),
             large: share(large),
             bound: least_share,
-            is_kept: share(large) >= least_share,
+            is_within_bound: share(large) >= least_share,
         },
     ]
 }
--- a/crates/test-support/src/soak/discovery.rs
+++ b/crates/test-support/src/soak/discovery.rs
@@ -39,9 +39,9 @@
     changes: RefCell<Vec<Vec<usize>>>,
     revision: watch::Sender<u64>,
     is_down: watch::Sender<bool>,
-    gives_complete_lists: Cell<bool>,
-    /// Servers whose end of service no one has been told.
-    untold: RefCell<HashSet<usize>>,
+    answers_completely: Cell<bool>,
+    /// Servers out of service of which no one has been notified.
+    unnotified: RefCell<HashSet<usize>>,
 }
 
 impl Discovery {
@@ -52,8 +52,8 @@
             changes: RefCell::default(),
             revision: watch::Sender::new(0),
             is_down: watch::Sender::new(false),
-            gives_complete_lists: Cell::new(false),
-            untold: RefCell::default(),
+            answers_completely: Cell::new(false),
+            unnotified: RefCell::default(),
         })
     }
 
@@ -78,7 +78,7 @@
         let servers = changed.iter().map(|(server, _)| *server).collect();
         for (server, listed) in changed {
             if listed.state != ListedState::Serving {
-                self.untold.borrow_mut().insert(server);
+                self.unnotified.borrow_mut().insert(server);
             }
             self.listed.borrow_mut().insert(server, listed);
         }
@@ -93,9 +93,9 @@
         servers.map(|(server, _)| *server).collect()
     }
 
-    /// Gives complete lists to calls until the next change is told.
-    pub(super) fn give_complete_lists(&self, gives: bool) {
-        self.gives_complete_lists.set(gives);
+    /// Gives complete lists to calls until that is called off.
+    pub(super) fn answer_completely(&self, gives: bool) {
+        self.answers_completely.set(gives);
     }
 
     /// Takes no calls for a while.
@@ -105,10 +105,10 @@
         self.is_down.send_replace(false);
     }
 
-    /// The complete list, for a configuration: whoever has it has been told all of it.
+    /// The complete list, for a configuration: whoever has it has been notified of all in it.
     pub(super) fn known_list(&self) -> Value {
-        let untold = self.untold.borrow().iter().copied().collect();
-        self.record_told(untold);
+        let unnotified = self.unnotified.borrow().iter().copied().collect();
+        self.record_notified(unnotified);
         self.list(None)
     }
 
@@ -132,24 +132,24 @@
                 () = stream.ended() => return false,
             }
         }
-        let is_complete = after.is_none() || self.gives_complete_lists.get();
+        let is_complete = after.is_none() || self.answers_completely.get();
         let list = self.list(after.filter(|_| !is_complete));
-        let told: Vec<usize> = self.untold.borrow().iter().copied().collect();
+        let notified: Vec<usize> = self.unnotified.borrow().iter().copied().collect();
         let body = list.to_string();
         if stream.write(&ok_response(&body)).await.is_err() {
             return false;
         }
-        self.record_told(told);
+        self.record_notified(notified);
         let mut records = self.records.borrow_mut();
         records.list_bytes += body.len();
         records.list_calls += 1;
         true
     }
 
-    fn record_told(&self, told: Vec<usize>) {
+    fn record_notified(&self, notified: Vec<usize>) {
         let now = Instant::now();
-        for server in told {
-            self.untold.borrow_mut().remove(&server);
+        for server in notified {
+            self.unnotified.borrow_mut().remove(&server);
             self.records.borrow_mut().servers[server].out_of_service_at.get_or_insert(now);
         }
     }
--- a/crates/test-support/src/soak/mod.rs
+++ b/crates/test-support/src/soak/mod.rs
@@ -11,10 +11,13 @@
 mod discovery;
 pub mod oracle;
 mod records;
+mod report;
 mod run;
 mod scenario;
 mod servers;
+mod stage;
 mod stream;
 
-pub use run::{run, SoakReport};
+pub use report::SoakReport;
+pub use run::run;
 pub use scenario::{Class, Scenario};
--- a/crates/test-support/src/soak/oracle.rs
+++ b/crates/test-support/src/soak/oracle.rs
@@ -139,8 +139,8 @@
 }
 
 fn drain(records: &Records, attempt: &AttemptRecord) -> Option<Violation> {
-    let told_at = records.servers[attempt.server].out_of_service_at?;
-    let after = attempt.began_at.saturating_duration_since(told_at);
+    let notified_at = records.servers[attempt.server].out_of_service_at?;
+    let after = attempt.began_at.saturating_duration_since(notified_at);
     (after > DRAIN_GRACE).then(|| Violation {
         rule: Rule::Drain,
         text: format!(
--- /dev/null
+++ b/crates/test-support/src/soak/report.rs
@@ -0,0 +1,76 @@
+//! What came of a run.
+
+use super::oracle::{judge, Rule, Violation};
+use super::records::{Ending, Records};
+use std::fmt;
+use std::time::Duration;
+
+/// What came of a run.
+#[derive(Debug, Clone)]
+pub struct SoakReport {
+    /// Breaks of rules.
+    pub violations: Vec<Violation>,
+    /// Requests made.
+    pub requests: usize,
+    /// Those that were served.
+    pub served: usize,
+    /// Attempts that servers have seen.
+    pub attempts: usize,
+    /// Bytes of lists that discovery has written.
+    pub list_bytes: usize,
+    /// Calls that discovery has answered.
+    pub list_calls: usize,
+    /// CPU time of all processes.
+    pub cpu: Duration,
+    /// Largest resident memory in bytes.
+    pub peak_memory: usize,
+    /// Most descriptors open at one time, as far as was seen.
+    pub descriptors: usize,
+    /// Connections made to servers.
+    pub connections: usize,
+}
+
+impl SoakReport {
+    pub(super) fn new(records: &Records) -> Self {
+        let is_served = |ending: &Ending| matches!(ending, Ending::Response(200, _));
+        let served = records.requests.iter().filter(|request| is_served(&request.ending));
+        SoakReport {
+            violations: judge(records),
+            requests: records.requests.len(),
+            served: served.count(),
+            attempts: records.attempts.len(),
+            list_bytes: records.list_bytes,
+            list_calls: records.list_calls,
+            cpu: records.cpu,
+            peak_memory: records.peak_memory,
+            descriptors: records.descriptors,
+            connections: records.connections,
+        }
+    }
+
+    /// How many breaks of a rule there were.
+    pub fn count(&self, rule: Rule) -> usize {
+        self.violations.iter().filter(|violation| violation.rule == rule).count()
+    }
+}
+
+impl fmt::Display for SoakReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        write!(
+            formatter,
+            "lost {} duplicate {} drain {} process {}; served {} of {}, {} attempts, \
+             {} calls with {} KB of lists, CPU {:.2} s, memory {} MB",
+            self.count(Rule::Lost),
+            self.count(Rule::Duplicate),
+            self.count(Rule::Drain),
+            self.count(Rule::Process),
+            self.served,
+            self.requests,
+            self.attempts,
+            self.list_calls,
+            self.list_bytes >> 10,
+            self.cpu.as_secs_f64(),
+            self.peak_memory >> 20
+        )
+    }
+}
