Tests: cost at 200 and 3,200 servers measured in turns; a doc link to a private item

Rustdoc refused a public page's link to a private constant.

Change: both fleets run side by side and are measured in turns, five times; the least of each counts, with the same bound of 2 (3 in the balancer alone). The page names the time.

--- a/crates/balancer/tests/large_fleets.rs
+++ b/crates/balancer/tests/large_fleets.rs
@@ -35,11 +35,15 @@
     thread_cpu_ns() - before
 }
 
-/// The least cost of `measure` at the large fleet over that at the usual one.
+/// The least cost of `measure` at the large fleet over that at the usual one, measured in turns.
 fn ratio(measure: impl Fn(u32) -> u64) -> f64 {
-    let least = |count| (0..ROUNDS).map(|_| measure(count)).min().unwrap().max(1) as f64;
-    let usual = least(USUAL);
-    least(LARGE) / usual
+    let mut usual = u64::MAX;
+    let mut large = u64::MAX;
+    for _ in 0..ROUNDS {
+        usual = usual.min(measure(USUAL));
+        large = large.min(measure(LARGE));
+    }
+    large as f64 / usual as f64
 }
 
 fn fleet(count: u32, started_at: Nanos) -> Vec<ListedServer> {
--- a/crates/mintshelf/tests/large_fleet.rs
+++ b/crates/mintshelf/tests/large_fleet.rs
@@ -16,8 +16,11 @@
 const LARGE: usize = 3_200;
 /// Listeners that all servers of a fleet share.
 const LISTENERS: usize = 16;
+/// Measurements of each fleet, in turns; the least of them counts, since timers and busy processors
+/// only add to one.
+const ROUNDS: usize = 5;
 /// Requests in one measurement.
-const REQUESTS: usize = 30;
+const REQUESTS: usize = 20;
 /// Changes of the list in one measurement, and entries in each.
 const CHANGES: usize = 10;
 const CHANGED: usize = 10;
@@ -62,14 +65,18 @@
         wait_until("the list is read", || *self.discovery.calls.lock().unwrap() >= calls);
     }
 
-    /// CPU time of requests, one after the other.
-    fn cost_of_requests(&self) -> Duration {
-        self.send(REQUESTS);
+    /// CPU time of what is done to the sidecar.
+    fn cost_of(&self, act: impl Fn(&Stage)) -> Duration {
         let before = self.sidecar.cpu_time();
-        self.send(REQUESTS);
+        act(self);
         self.sidecar.cpu_time() - before
     }
 
+    /// Requests, one after the other.
+    fn send_requests(&self) {
+        self.send(REQUESTS);
+    }
+
     fn send(&self, count: usize) {
         let mut client = connect(self.sidecar.at).unwrap();
         for number in 0..count {
@@ -78,9 +85,8 @@
         }
     }
 
-    /// CPU time of changes of the list that name a few servers each.
-    fn cost_of_changes(&self) -> Duration {
-        let before = self.sidecar.cpu_time();
+    /// Changes of the list that name a few servers each.
+    fn make_changes(&self) {
         for step in 0..CHANGES {
             let state = if step % 2 == 0 { "DRAINING" } else { "SERVING" };
             let changed = (0..CHANGED)
@@ -90,7 +96,6 @@
             self.discovery.change(changed);
             self.wait_for_calls(calls + 1);
         }
-        self.sidecar.cpu_time() - before
     }
 }
 
@@ -105,9 +110,16 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
 }
 
-fn assert_costs_the_same(what: &str, measure: impl Fn(usize) -> Duration) {
-    let usual = measure(USUAL);
-    let large = measure(LARGE);
+fn assert_costs_the_same(what: &str, start: impl Fn(usize) -> Stage, act: impl Fn(&Stage)) {
+    let stages = [start(USUAL), start(LARGE)];
+    stages.iter().for_each(&act);
+    let mut least = [Duration::MAX; 2];
+    for _ in 0..ROUNDS {
+        for (least, stage) in least.iter_mut().zip(&stages) {
+            *least = stage.cost_of(&act).min(*least);
+        }
+    }
+    let [usual, large] = least;
     let ratio = large.as_secs_f64() / usual.as_secs_f64();
     println!("{what}: {usual:?} with {USUAL} servers, {large:?} with {LARGE}, {ratio:.2}");
     assert!(ratio < MAX_RATIO, "{what}: {usual:?} and {large:?}, {ratio:.1} times");
@@ -124,14 +136,14 @@
     let states =
         [("all sound", 0, served), ("all warming up", unix_ms(), served), ("all full", 0, full)];
     for (what, boot_ms, response) in states {
-        assert_costs_the_same(what, |count| {
-            Stage::start(count, boot_ms, response).cost_of_requests()
-        });
+        let start = |count| Stage::start(count, boot_ms, response);
+        assert_costs_the_same(what, start, Stage::send_requests);
     }
 }
 
 #[test]
 fn in_a_large_fleet_changes_of_ten_servers_cost_the_same() {
     let served = served();
-    assert_costs_the_same("changes", |count| Stage::start(count, 0, served).cost_of_changes());
+    let start = |count| Stage::start(count, 0, served);
+    assert_costs_the_same("changes", start, Stage::make_changes);
 }
--- a/crates/proxy/src/list_arrival.rs
+++ b/crates/proxy/src/list_arrival.rs
@@ -36,7 +36,7 @@
         self.handled.notify_waiters();
     }
 
-    /// Waits until no list is on its way, at most for [`MAX_WAIT`].
+    /// Waits until no list is on its way, at most for half a second.
     ///
     /// Tasks take turns. Where many requests are due at once, the task that reads the list comes
     /// behind them, and they would be sent to servers that are known to drain.
