Soak: the time stated too much and the stand-ins' own delay are in each report

Whether the process or the stand-in was late could not be told.

Change: the system's receive stamp and the time of the read are both kept; the report has the largest excess and the largest delay of a read.

--- a/crates/test-support/src/soak/oracle.rs
+++ b/crates/test-support/src/soak/oracle.rs
@@ -96,6 +96,24 @@
     attempts.iter().any(is_of)
 }
 
+/// The time that a client had left when an attempt for it came to its server.
+fn time_left(request: &RequestRecord, attempt: &AttemptRecord) -> Duration {
+    (request.sent_at + request.timeout).saturating_duration_since(attempt.began_at)
+}
+
+/// By how much an attempt at most stated more time than its client had left.
+pub(super) fn max_overstatement(records: &Records) -> Duration {
+    let by_request = records.attempts_by_request();
+    let overstatements = records.requests.iter().flat_map(|request| {
+        let attempts = by_request.get(request.transaction.as_str()).into_iter().flatten();
+        attempts.map(|attempt| {
+            let stated = attempt.remaining.unwrap_or_default();
+            stated.saturating_sub(time_left(request, attempt))
+        })
+    });
+    overstatements.max().unwrap_or_default()
+}
+
 /// Attempts for a client that has left, and such that state more time than it has.
 fn late_attempts(request: &RequestRecord, attempts: &[&AttemptRecord]) -> Vec<Violation> {
     let mut violations = Vec::new();
@@ -105,9 +123,8 @@
             let text = format!("an attempt {after_leaving:?} after its client left");
             violations.push(violation(Rule::Lost, request, text));
         }
-        let end = request.sent_at + request.timeout;
-        let left = end.saturating_duration_since(attempt.began_at);
         let stated = attempt.remaining.unwrap_or_default();
+        let left = time_left(request, attempt);
         if stated > left + REMAINING_SLACK {
             let text = format!("an attempt states {stated:?} where {left:?} is left");
             violations.push(violation(Rule::Lost, request, text));
--- a/crates/test-support/src/soak/records.rs
+++ b/crates/test-support/src/soak/records.rs
@@ -25,10 +25,10 @@
     pub server: usize,
     /// The request's id.
     pub transaction: String,
-    /// When its first byte came.
+    /// When its first byte came to the server's system.
     pub began_at: Instant,
-    /// When it had come completely.
-    pub arrived_at: Instant,
+    /// When the server had read it completely.
+    pub read_at: Instant,
     /// The time that it said was left.
     pub remaining: Option<Duration>,
     /// What came of it.
--- a/crates/test-support/src/soak/report.rs
+++ b/crates/test-support/src/soak/report.rs
@@ -1,6 +1,6 @@
 //! What came of a run.
 
-use super::oracle::{judge, Rule, Violation};
+use super::oracle::{judge, max_overstatement, Rule, Violation};
 use super::records::{Ending, Records};
 use std::fmt;
 use std::time::Duration;
@@ -28,6 +28,10 @@
     pub descriptors: usize,
     /// Connections made to servers.
     pub connections: usize,
+    /// By how much an attempt at most stated more time than its client had left.
+    pub max_overstatement: Duration,
+    /// How late a server at most has read a request: the stand-ins share one thread.
+    pub max_read_delay: Duration,
 }
 
 impl SoakReport {
@@ -45,6 +49,8 @@
             peak_memory: records.peak_memory,
             descriptors: records.descriptors,
             connections: records.connections,
+            max_overstatement: max_overstatement(records),
+            max_read_delay: max_read_delay(records),
         }
     }
 
@@ -54,12 +60,18 @@
     }
 }
 
+fn max_read_delay(records: &Records) -> Duration {
+    let delays = records.attempts.iter().map(|attempt| attempt.read_at - attempt.began_at);
+    delays.max().unwrap_or_default()
+}
+
 impl fmt::Display for SoakReport {
     fn fmt(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
         write!(
             formatter,
             "lost {} duplicate {} drain {} process {}; served {} of {}, {} attempts, \
-             {} calls with {} KB of lists, CPU {:.2} s, memory {} MB",
+             {} calls with {} KB of lists, CPU {:.2} s, memory {} MB, \
+             up to {} ms too much stated, requests read up to {} ms late",
             self.count(Rule::Lost),
             self.count(Rule::Duplicate),
             self.count(Rule::Drain),
@@ -70,7 +82,9 @@
             self.list_calls,
             self.list_bytes >> 10,
             self.cpu.as_secs_f64(),
-            self.peak_memory >> 20
+            self.peak_memory >> 20,
+            self.max_overstatement.as_millis(),
+            self.max_read_delay.as_millis()
         )
     }
 }
--- a/crates/test-support/src/soak/servers.rs
+++ b/crates/test-support/src/soak/servers.rs
@@ -66,7 +66,7 @@
                     server: number,
                     transaction: transaction.clone(),
                     began_at,
-                    arrived_at: Instant::now(),
+                    read_at: Instant::now(),
                     remaining: remaining.map(Duration::from_millis),
                     fate: Fate::Open,
                     ended_at: None,
--- a/crates/test-support/tests/soak_oracle.rs
+++ b/crates/test-support/tests/soak_oracle.rs
@@ -30,7 +30,7 @@
             server: 0,
             transaction: "t1".to_string(),
             began_at: at,
-            arrived_at: at,
+            read_at: at,
             remaining: None,
             fate: Fate::Served,
             ended_at: Some(at),
