--- a/crates/mintshelf/tests/races/main.rs
+++ b/crates/mintshelf/tests/races/main.rs
@@ -6,4 +6,5 @@
 mod closes;
 mod discovery;
 mod fixture;
+mod remaining_time;
 mod unusual_settings;
