Platform: a body's wait, unread or for memory, is taken off the time that servers are told

Change: the loop's lag is looked at again once the body is complete, and the wait for memory is counted, over all frames together at most 1 s as before for one.

--- a/crates/proxy/src/platform/handler.rs
+++ b/crates/proxy/src/platform/handler.rs
@@ -86,11 +86,14 @@
             return Err(RejectedRequest::bad_request("Content-Length and Transfer-Encoding\n"));
         }
         let mut metadata = read_metadata(&head.headers, &self.settings, &self.names)?;
-        metadata.client_timeout = metadata.client_timeout.saturating_sub(nanos(queued));
         let transaction_id = head.headers.get(TRANSACTION_ID).cloned();
         let transaction_id = transaction_id.ok_or_else(missing_transaction_id)?;
         let body = read_body(&self.body_budget, &mut body, metadata.client_timeout).await?;
         client.enter(Phase::Busy);
+        // The client's time counts from the last byte, which may have come later than the head, or
+        // before the body found capacity.
+        let queued = queued.max(self.loop_monitor.lag()) + body.capacity_wait;
+        metadata.client_timeout = metadata.client_timeout.saturating_sub(nanos(queued));
         rewrite_head(&mut head)?;
         if let Some(rejected) = self.apply_shutdown(&mut metadata) {
             return Ok(rejected);
--- a/crates/proxy/src/platform/request_body.rs
+++ b/crates/proxy/src/platform/request_body.rs
@@ -13,16 +13,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
-/// How long a body waits for capacity among the bodies in memory. Its sender is held
-/// back meanwhile, and the client's time has not begun.
-const CAPACITY_WAIT: Duration = Duration::from_secs(1);
+/// How long a body waits for capacity among the bodies in memory.
+const CAPACITY_WAIT_MAX: Duration = Duration::from_secs(1);
 
 /// A request's body, and its bytes in the budget of the process.
 pub(super) struct BudgetedBody {
     pub(super) body: RequestBody,
     pub(super) permit: Option<OwnedSemaphorePermit>,
+    /// How long it waited for capacity. All of it may have come before.
+    pub(super) capacity_wait: Duration,
 }
 
 /// Reads a body, as far as there is capacity for it while its client waits.
@@ -37,7 +38,8 @@
     if body.size_hint().lower() > BODY_MAX as u64 {
         return Err(too_long());
     }
-    let capacity_wait = CAPACITY_WAIT.min(Duration::from_nanos(client_timeout));
+    let capacity_wait_max = CAPACITY_WAIT_MAX.min(Duration::from_nanos(client_timeout));
+    let mut capacity_wait = Duration::ZERO;
     let mut buffered = BytesMut::new();
     let mut permit: Option<OwnedSemaphorePermit> = None;
     while let Some(frame) = poll_fn(|cx| Pin::new(&mut *body).poll_frame(cx)).await {
@@ -46,11 +48,14 @@
         if buffered.len() + data.len() > BODY_MAX {
             return Err(too_long());
         }
+        let wait_began_at = Instant::now();
         let more = budget.clone().acquire_many_owned(data.len() as u32);
-        let Ok(Ok(more)) = timeout(capacity_wait, more).await else {
+        let wait_left = capacity_wait_max.saturating_sub(capacity_wait);
+        let Ok(Ok(more)) = timeout(wait_left, more).await else {
             // Nothing has been sent for it: the client may try again.
             return Err(RejectedRequest::new(StatusCode::SERVICE_UNAVAILABLE, "no room\n"));
         };
+        capacity_wait += wait_began_at.elapsed();
         match &mut permit {
             Some(permit) => permit.merge(more),
             None => permit = Some(more),
@@ -58,7 +63,7 @@
         buffered.extend_from_slice(&data);
     }
     let body = RequestBody::Buffered(BufferedBody::new(buffered.freeze()));
-    Ok(BudgetedBody { body, permit })
+    Ok(BudgetedBody { body, permit, capacity_wait })
 }
 
 fn too_long() -> RejectedRequest {
