Soak: silent watches, cut and slow lists, early closes, broken responses, slow clients

The soak played four kinds of misbehaving servers, outages, complete lists and signals.

Change: drawn from each seed besides: open watches fall silent, lists are cut off or come in pieces, servers break off their responses or close connections early, clients write in two parts or stop in the midst of a request and stay (3.5 s at most). Parts of a run have random numbers of their own, so that earlier seeds keep their requests and events.

--- a/crates/test-support/src/soak/clients.rs
+++ b/crates/test-support/src/soak/clients.rs
@@ -2,7 +2,7 @@
 //! their response, and they go on with open connections until the process is killed.
 
 use super::records::{Ending, Records, RequestRecord};
-use super::scenario::{Class, Draw};
+use super::scenario::{Class, Draw, DrawPart, Scenario};
 use super::stream::{MessageStream, Received};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -16,6 +16,15 @@
 pub(super) const LATE_MAX: Duration = Duration::from_millis(500);
 /// Part of the clients that leave before their response.
 const DISCONNECTING: f64 = 0.03;
+/// Part of the requests that are written in two parts, where there are slow clients.
+const SLOW: f64 = 0.1;
+/// The pause between these, in milliseconds.
+const SLOW_PAUSE_MS: (u64, u64) = (5, 200);
+/// Clients that begin a request and stop, for each that sends one completely.
+const STOPPING: f64 = 0.03;
+/// An incomplete request has its response or its connection's end by then: 3 s, and half a second
+/// in which a slow process may be late.
+const INCOMPLETE_MAX: Duration = Duration::from_millis(3_500);
 /// Shortest wait of a client, as a part of its class's deadline.
 const LEAST_WAIT: f64 = 0.4;
 
@@ -31,6 +40,9 @@
     deadline: Duration,
     records: Rc<RefCell<Records>>,
     draw: RefCell<Draw>,
+    has_slow: bool,
+    /// For slow clients alone: the others do the same with and without them.
+    slow_draw: RefCell<Draw>,
     pooled: RefCell<Vec<PooledConnection>>,
     crowd: RefCell<Vec<TcpStream>>,
     may_connect: Cell<bool>,
@@ -41,15 +53,16 @@
 impl Clients {
     pub(super) fn new(
         address: SocketAddr,
-        deadline: Duration,
+        scenario: &Scenario,
         records: Rc<RefCell<Records>>,
-        draw: Draw,
     ) -> Rc<Self> {
         Rc::new(Clients {
             address,
-            deadline,
+            deadline: scenario.deadline,
+            has_slow: scenario.has_slow_clients,
             records,
-            draw: RefCell::new(draw),
+            draw: RefCell::new(scenario.draw(DrawPart::Clients)),
+            slow_draw: RefCell::new(scenario.draw(DrawPart::SlowClients)),
             pooled: RefCell::default(),
             crowd: RefCell::default(),
             may_connect: Cell::new(true),
@@ -64,6 +77,9 @@
             let wait = -(1.0 - self.draw.borrow_mut().uniform()).ln() / rate;
             sleep(Duration::from_secs_f64(wait)).await;
             spawn_local(self.clone().send_request());
+            if self.has_slow && self.slow_draw.borrow_mut().is_chosen(STOPPING) {
+                spawn_local(self.clone().send_part());
+            }
         }
     }
 
@@ -171,11 +187,39 @@
             timeout.as_millis(),
             body.len()
         );
-        // A connection that takes no more has ended; its reading shows how.
-        let _ = pooled.stream.write(request.as_bytes()).await;
+        self.write_parts(&mut pooled.stream, request.as_bytes()).await;
         Some(Instant::now())
     }
 
+    /// Writes a request, in two parts where its client is slow.
+    async fn write_parts(&self, stream: &mut MessageStream, request: &[u8]) {
+        let is_slow = self.has_slow && self.slow_draw.borrow_mut().is_chosen(SLOW);
+        let first_length = match is_slow {
+            true => self.slow_draw.borrow_mut().between(1, request.len() - 1),
+            false => request.len(),
+        };
+        let (first, rest) = request.split_at(first_length);
+        // A connection that takes no more has ended; its reading shows how.
+        let _ = stream.write(first).await;
+        if is_slow {
+            let pause = self.slow_draw.borrow_mut().millis(SLOW_PAUSE_MS.0, SLOW_PAUSE_MS.1);
+            sleep(pause).await;
+            let _ = stream.write(rest).await;
+        }
+    }
+
+    /// Begins a request, stops in its midst and stays: the process has to respond or to close.
+    async fn send_part(self: Rc<Self>) {
+        let Some(mut connection) = self.new_connection().await else { return };
+        let _ = connection.stream.write(b"GET /api HTTP/1.1\r\nHost: a\r\nX-Tx").await;
+        let began_at = Instant::now();
+        let ended = timeout(INCOMPLETE_MAX, connection.stream.read()).await;
+        if ended.is_err() {
+            let text = format!("an incomplete request was kept for {:?}", began_at.elapsed());
+            self.records.borrow_mut().process_faults.push(text);
+        }
+    }
+
     async fn ending(
         &self,
         pooled: &mut PooledConnection,
--- a/crates/test-support/src/soak/discovery.rs
+++ b/crates/test-support/src/soak/discovery.rs
@@ -2,12 +2,14 @@
 //! and records when it has written that a server is out of service.
 
 use super::records::{Outage, Records};
+use super::scenario::{Draw, ListDelivery};
 use super::stream::{MessageStream, Received};
 use crate::addresses::free_address;
 use crate::message::{ok_response, Message};
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -16,6 +18,10 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
+/// Into how many pieces a list is cut where it comes slowly.
+const PIECES: usize = 8;
+const PIECE_PAUSE: Duration = Duration::from_millis(20);
+
 /// State of a listed server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ListedState {
@@ -39,19 +45,26 @@
     changes: RefCell<Vec<Vec<usize>>>,
     revision: watch::Sender<u64>,
     is_down: watch::Sender<bool>,
+    /// How often open calls have fallen silent.
+    silences: watch::Sender<u64>,
+    delivery: Cell<ListDelivery>,
+    draw: RefCell<Draw>,
     answers_completely: Cell<bool>,
     /// Servers out of service of which no one has been notified.
     unnotified: RefCell<HashSet<usize>>,
 }
 
 impl Discovery {
-    pub(super) fn new(records: Rc<RefCell<Records>>) -> Rc<Self> {
+    pub(super) fn new(records: Rc<RefCell<Records>>, draw: Draw) -> Rc<Self> {
         Rc::new(Discovery {
             records,
             listed: RefCell::default(),
             changes: RefCell::default(),
             revision: watch::Sender::new(0),
             is_down: watch::Sender::new(false),
+            silences: watch::Sender::new(0),
+            delivery: Cell::new(ListDelivery::Whole),
+            draw: RefCell::new(draw),
             answers_completely: Cell::new(false),
             unnotified: RefCell::default(),
         })
@@ -114,6 +127,18 @@
         self.records.borrow_mut().outages[number].ended_at = Some(Instant::now());
     }
 
+    /// Never answers the calls that are open.
+    pub(super) fn silence_watches(&self) {
+        self.silences.send_modify(|silences| *silences += 1);
+    }
+
+    /// Delivers lists in another way for a while.
+    pub(super) async fn deliver(&self, delivery: ListDelivery, lasts: Duration) {
+        self.delivery.set(delivery);
+        sleep(lasts).await;
+        self.delivery.set(ListDelivery::Whole);
+    }
+
     /// The complete list, for a configuration.
     pub(super) fn known_list(&self) -> Value {
         self.list(None)
@@ -130,7 +155,7 @@
         while let Received::Message(call, _) = stream.read().await {
             tokio::select! {
                 biased;
-                _ = is_down.wait_for(|is_down| *is_down) => return reset(&stream),
+                _ = is_down.wait_for(|is_down| *is_down) => return stream.reset(),
                 answered = self.answer(&call, &mut stream) => if !answered { return },
             }
         }
@@ -141,16 +166,21 @@
         if let Some(after) = after {
             let mut revision = self.revision.subscribe();
             let newer = revision.wait_for(|revision| *revision > after);
+            let mut silences = self.silences.subscribe();
             tokio::select! {
                 _ = timeout(call.wait(), newer) => {}
                 () = stream.ended() => return false,
+                _ = silences.changed() => {
+                    stream.ended().await;
+                    return false;
+                }
             }
         }
         let is_complete = after.is_none() || self.answers_completely.get();
         let list = self.list(after.filter(|_| !is_complete));
         let notified: Vec<usize> = self.unnotified.borrow().iter().copied().collect();
         let body = list.to_string();
-        if stream.write(&ok_response(&body)).await.is_err() {
+        if !self.write(&ok_response(&body), stream).await {
             return false;
         }
         self.record_notified(notified);
@@ -160,6 +190,21 @@
         true
     }
 
+    /// Sends a response as lists are delivered now; whether it was sent completely.
+    async fn write(&self, response: &[u8], stream: &mut MessageStream) -> bool {
+        let result = match self.delivery.get() {
+            ListDelivery::Whole => stream.write(response).await,
+            ListDelivery::Slow => write_slowly(response, stream).await,
+            ListDelivery::CutOff => {
+                let length = self.draw.borrow_mut().between(1, response.len() - 1);
+                // The connection ends within the response in any case.
+                let _ = stream.write(&response[..length]).await;
+                return false;
+            }
+        };
+        result.is_ok()
+    }
+
     fn record_notified(&self, notified: Vec<usize>) {
         let now = Instant::now();
         for server in notified {
@@ -200,6 +245,11 @@
     }
 }
 
-fn reset(stream: &MessageStream) {
-    let _ = socket2::SockRef::from(&stream.stream).set_linger(Some(Duration::ZERO));
+/// Sends a response in pieces, with pauses.
+async fn write_slowly(response: &[u8], stream: &mut MessageStream) -> io::Result<()> {
+    for piece in response.chunks(response.len().div_ceil(PIECES)) {
+        stream.write(piece).await?;
+        sleep(PIECE_PAUSE).await;
+    }
+    Ok(())
 }
--- a/crates/test-support/src/soak/run.rs
+++ b/crates/test-support/src/soak/run.rs
@@ -4,7 +4,7 @@
 use super::discovery::{Discovery, Listed, ListedState};
 use super::records::Records;
 use super::report::SoakReport;
-use super::scenario::{Draw, Scenario};
+use super::scenario::{DrawPart, Scenario};
 use super::servers::Servers;
 use super::stage::Stage;
 use crate::addresses::free_address;
@@ -27,9 +27,8 @@
 }
 
 async fn play(program: String, scenario: Scenario, records: Rc<RefCell<Records>>) {
-    let draw = |part: u64| Draw::new(scenario.seed ^ part << 32);
-    let servers = Servers::new(records.clone(), draw(1));
-    let discovery = Discovery::new(records.clone());
+    let servers = Servers::new(records.clone(), scenario.draw(DrawPart::Servers));
+    let discovery = Discovery::new(records.clone(), scenario.draw(DrawPart::Discovery));
     let mut first = Vec::new();
     for _ in 0..scenario.servers {
         let listed = Listed { state: ListedState::Serving, boot_ms: 0 };
@@ -37,10 +36,10 @@
     }
     discovery.change(first);
     let listen = free_address();
-    let clients = Clients::new(listen, scenario.deadline, records.clone(), draw(2));
+    let clients = Clients::new(listen, &scenario, records.clone());
     let mut stage = Stage {
         program,
-        draw: draw(3),
+        draw: scenario.draw(DrawPart::Stage),
         listen,
         discovery_address: discovery.listen().await,
         scenario: scenario.clone(),
--- a/crates/test-support/src/soak/scenario.rs
+++ b/crates/test-support/src/soak/scenario.rs
@@ -42,6 +42,21 @@
     Reset,
     /// Answers 500.
     Fail,
+    /// Resets the connection within its response.
+    BreakOff,
+    /// Serves them, and closes each connection soon after its response.
+    CloseIdle,
+}
+
+/// What discovery does with calls for a while.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ListDelivery {
+    /// Answers them.
+    Whole,
+    /// Ends the connection within its answers.
+    CutOff,
+    /// Sends its answers in pieces, with pauses.
+    Slow,
 }
 
 /// One event of the timeline.
@@ -57,6 +72,10 @@
     Misbehave { thousandths: usize, behavior: Behavior, lasts: Duration },
     /// Discovery takes no calls for a while and resets those that wait.
     Outage(Duration),
+    /// Open calls to discovery are never answered.
+    SilentWatches,
+    /// Discovery delivers lists so for a while.
+    Deliver { delivery: ListDelivery, lasts: Duration },
     /// Discovery gives complete lists to the calls that come next, new servers first.
     CompleteLists,
     /// SIGHUP with another address of discovery.
@@ -80,6 +99,8 @@
     pub cpu_thousandths: Option<u32>,
     /// Idle clients that take the descriptors.
     pub crowd: usize,
+    /// Whether some clients send in pieces, or stop in the midst of a request and stay.
+    pub has_slow_clients: bool,
     pub(super) events: Vec<(Duration, Event)>,
     pub(super) length: Duration,
 }
@@ -112,6 +133,16 @@
     }
 }
 
+/// Parts of a run with random numbers of their own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum DrawPart {
+    Servers = 1,
+    Clients,
+    Stage,
+    Discovery,
+    SlowClients,
+}
+
 /// Length of a run before its last restart.
 const LENGTH: Duration = Duration::from_secs(9);
 /// Shares of a core as the platform gives them.
@@ -129,20 +160,33 @@
             events.push((reload_at + Duration::from_millis(120) * number as u32, Event::Reload));
         }
         events.push((draw.millis(4_000, 6_000), Event::Restart));
+        let rate = 20.0 + 30.0 * draw.uniform();
+        let deadline = draw.millis(700, 2_500);
+        let crowd = if draw.is_chosen(0.25) { 140 } else { 0 };
+        events.extend(list_faults(&mut draw));
+        events.extend(connection_faults(&mut draw));
         events.sort_by_key(|(at, _)| *at);
         Scenario {
             seed,
             servers,
-            rate: 20.0 + 30.0 * draw.uniform(),
-            deadline: draw.millis(700, 2_500),
+            rate,
+            deadline,
             cpu_thousandths: is_limited.then_some(CPU_THOUSANDTHS),
-            crowd: if draw.is_chosen(0.25) { 140 } else { 0 },
+            crowd,
+            has_slow_clients: draw.is_chosen(0.4),
             events,
             length: LENGTH,
         }
     }
 }
 
+impl Scenario {
+    /// The random numbers of one part of the run.
+    pub(super) fn draw(&self, part: DrawPart) -> Draw {
+        Draw::new(self.seed ^ (part as u64) << 32)
+    }
+}
+
 /// A release: servers join, others drain and go, in steps.
 fn release(draw: &mut Draw, servers: usize) -> Vec<(Duration, Event)> {
     let mut events = Vec::new();
@@ -162,17 +206,48 @@
 }
 
 fn faults(draw: &mut Draw) -> Vec<(Duration, Event)> {
+    let behaviors = [Behavior::Full, Behavior::Hang, Behavior::Reset, Behavior::Fail];
+    let mut events = misbehaviors(draw, &behaviors, 0.6);
+    if draw.is_chosen(0.4) {
+        events.push((draw.millis(500, 5_000), Event::Outage(draw.millis(300, 3_000))));
+    }
+    events
+}
+
+/// Parts of the servers misbehave, in each way with this probability.
+fn misbehaviors(
+    draw: &mut Draw,
+    behaviors: &[Behavior],
+    probability: f64,
+) -> Vec<(Duration, Event)> {
     let mut events = Vec::new();
-    for behavior in [Behavior::Full, Behavior::Hang, Behavior::Reset, Behavior::Fail] {
-        if draw.is_chosen(0.6) {
+    for behavior in behaviors {
+        if draw.is_chosen(probability) {
             let thousandths = draw.between(50, 500);
             let lasts = draw.millis(500, 3_000);
-            let misbehave = Event::Misbehave { thousandths, behavior, lasts };
+            let misbehave = Event::Misbehave { thousandths, behavior: *behavior, lasts };
             events.push((draw.millis(500, 6_000), misbehave));
         }
     }
-    if draw.is_chosen(0.4) {
-        events.push((draw.millis(500, 5_000), Event::Outage(draw.millis(300, 3_000))));
+    events
+}
+
+/// Faults between servers and the process.
+fn connection_faults(draw: &mut Draw) -> Vec<(Duration, Event)> {
+    misbehaviors(draw, &[Behavior::BreakOff, Behavior::CloseIdle], 0.4)
+}
+
+/// Faults between discovery and the process.
+fn list_faults(draw: &mut Draw) -> Vec<(Duration, Event)> {
+    let mut events = Vec::new();
+    if draw.is_chosen(0.3) {
+        events.push((draw.millis(200, 3_000), Event::SilentWatches));
+    }
+    for delivery in [ListDelivery::CutOff, ListDelivery::Slow] {
+        if draw.is_chosen(0.3) {
+            let lasts = draw.millis(300, 2_000);
+            events.push((draw.millis(200, 5_000), Event::Deliver { delivery, lasts }));
+        }
     }
     events
 }
--- a/crates/test-support/src/soak/servers.rs
+++ b/crates/test-support/src/soak/servers.rs
@@ -15,6 +15,8 @@
 
 const TURNED_AWAY: &[u8] = b"HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
 const ERROR: &[u8] = b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n";
+/// After which time at most a server closes connections where it closes them early.
+const CLOSE_IDLE_MAX_MS: u64 = 100;
 /// How long a server works for a request, in milliseconds.
 const WORK_MS: (u64, u64) = (2, 40);
 
@@ -74,17 +76,26 @@
                 records.attempts.len() - 1
             };
             let fate = self.respond(number, &transaction, &mut stream).await;
-            let mut records = self.records.borrow_mut();
-            records.attempts[attempt].fate = fate;
-            records.attempts[attempt].ended_at = Some(Instant::now());
-            drop(records);
-            if fate == Fate::Doubtful && self.behavior(number) == Behavior::Reset {
-                let _ = socket2::SockRef::from(&stream.stream).set_linger(Some(Duration::ZERO));
-                return;
+            self.record_end(attempt, fate);
+            match self.behavior(number) {
+                Behavior::Reset | Behavior::BreakOff if fate == Fate::Doubtful => {
+                    return stream.reset();
+                }
+                Behavior::CloseIdle => {
+                    let idle = self.draw.borrow_mut().millis(0, CLOSE_IDLE_MAX_MS);
+                    return sleep(idle).await;
+                }
+                _ => {}
             }
         }
     }
 
+    fn record_end(&self, attempt: usize, fate: Fate) {
+        let mut records = self.records.borrow_mut();
+        records.attempts[attempt].fate = fate;
+        records.attempts[attempt].ended_at = Some(Instant::now());
+    }
+
     fn behavior(&self, number: usize) -> Behavior {
         self.behaviors.borrow()[number]
     }
@@ -99,7 +110,13 @@
                 stream.ended().await;
                 return Fate::Doubtful;
             }
-            Behavior::Serve => {
+            Behavior::BreakOff => {
+                let response = ok_response(&format!("{transaction} by {number}"));
+                // What breaks off is not a complete response, however it is taken.
+                let _ = stream.write(&response[..response.len() - 1]).await;
+                return Fate::Doubtful;
+            }
+            Behavior::Serve | Behavior::CloseIdle => {
                 let work = self.draw.borrow_mut().millis(WORK_MS.0, WORK_MS.1);
                 tokio::select! {
                     () = sleep(work) => {}
--- a/crates/test-support/src/soak/stage.rs
+++ b/crates/test-support/src/soak/stage.rs
@@ -89,6 +89,12 @@
                 let lasts = *lasts;
                 spawn_local(async move { discovery.go_down(lasts).await });
             }
+            Event::SilentWatches => self.discovery.silence_watches(),
+            Event::Deliver { delivery, lasts } => {
+                let discovery = self.discovery.clone();
+                let (delivery, lasts) = (*delivery, *lasts);
+                spawn_local(async move { discovery.deliver(delivery, lasts).await });
+            }
             Event::CompleteLists => self.discovery.answer_completely(true),
             Event::Reload => self.reload().await,
             Event::Restart => {
--- a/crates/test-support/src/soak/stream.rs
+++ b/crates/test-support/src/soak/stream.rs
@@ -3,7 +3,7 @@
 use super::receive_time::{receive, ReceivedBytes};
 use crate::message::Message;
 use std::io;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
@@ -63,6 +63,11 @@
         Received::Message(message, began_at)
     }
 
+    /// Resets the connection.
+    pub(super) fn reset(self) {
+        let _ = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+    }
+
     /// Waits until the other side ends the connection, or sends something.
     pub(super) async fn ended(&mut self) {
         self.read_more().await;
