Balancer: the group of a retry is found once, by one rule

Need: the rule stood twice, as a test of one server and as the choice of a set, and the first looked the server up again for each candidate.

Change: `RetryGroup`, found once for a request; membership and set both follow from it.

--- a/crates/balancer/src/decide/candidates.rs
+++ b/crates/balancer/src/decide/candidates.rs
@@ -1,7 +1,7 @@
 //! Which servers are in each class's order, and which of them a request may choose from.
 
 use super::{Balancer, MS, SECOND};
-use crate::api::{Group, Nanos, ServerId};
+use crate::api::{Group, ListedServer, Nanos, ServerId};
 use crate::server_order::{Candidates, ServerOrder};
 use crate::state::{OrderedServers, Request};
 
@@ -24,6 +24,27 @@
 /// Ejections are ignored if servers that are not ejected have less than this share of the size.
 const EJECTED_PANIC_SHARE: f64 = 0.3;
 
+/// The servers among which a request may be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RetryGroup {
+    All,
+    Zone(u32),
+    Cell(u32),
+    /// Those of a server that is not known any more: none.
+    Unknown,
+}
+
+impl RetryGroup {
+    fn contains(self, listed: &ListedServer) -> bool {
+        match self {
+            RetryGroup::All => true,
+            RetryGroup::Zone(zone) => listed.zone == zone,
+            RetryGroup::Cell(cell) => listed.cell == cell,
+            RetryGroup::Unknown => false,
+        }
+    }
+}
+
 impl Balancer {
     fn refresh_orders(&mut self) {
         let age = self.now.saturating_sub(self.orders.refreshed_at);
@@ -121,14 +142,15 @@
             let id = self.servers[*index].listed.id;
             request.attempts.iter().all(|attempt| attempt.server != id)
         };
-        let is_in_group = |index: &usize| self.is_in_group(request, group_of, *index);
+        let group = self.retry_group(request, group_of);
+        let is_in_group = |index: &usize| group.contains(&self.servers[*index].listed);
         let order = self.orders.by_class[request.class].members();
         let in_order = order.iter().copied().filter(is_in_group).filter(is_untried);
         let servers: Vec<usize> = in_order.collect();
         if !servers.is_empty() {
             return servers;
         }
-        let Some(group) = self.group_servers(request, group_of) else { return servers };
+        let Some(group) = self.group_servers(group) else { return servers };
         let untried: Vec<usize> = group.iter().filter(is_untried).take(FALLBACK_MAX).collect();
         if !untried.is_empty() {
             return untried;
@@ -136,32 +158,29 @@
         group.iter().take(FALLBACK_MAX).collect()
     }
 
-    /// The servers in service among which a request may be retried; `None` if there are none.
-    fn group_servers(
-        &self,
-        request: &Request,
-        group_of: Option<ServerId>,
-    ) -> Option<&OrderedServers> {
-        let all = Some(self.servers.in_service());
-        let Some(server) = group_of else { return all };
-        let listed = || Some(&self.servers[self.servers.index_of(server)?].listed);
-        match self.settings.classes[request.class].group {
-            Group::All => all,
-            Group::Zone => self.servers.in_zone(listed()?.zone),
-            Group::Cell => self.servers.in_cell(listed()?.cell),
+    /// The servers that discard repeats of what a server ran. The group of a server that is no
+    /// longer known is unknown.
+    fn retry_group(&self, request: &Request, group_of: Option<ServerId>) -> RetryGroup {
+        let group = self.settings.classes[request.class].group;
+        let Some(server) = group_of.filter(|_| group != Group::All) else {
+            return RetryGroup::All;
+        };
+        let Some(index) = self.servers.index_of(server) else { return RetryGroup::Unknown };
+        let listed = &self.servers[index].listed;
+        match group {
+            Group::All => RetryGroup::All,
+            Group::Zone => RetryGroup::Zone(listed.zone),
+            Group::Cell => RetryGroup::Cell(listed.cell),
         }
     }
 
-    /// Whether a server discards repeats of what another one ran. The group of a server that
-    /// is no longer known is unknown.
-    fn is_in_group(&self, request: &Request, group_of: Option<ServerId>, index: usize) -> bool {
-        let known = group_of.and_then(|id| self.servers.index_of(id));
-        let listed = &self.servers[index].listed;
-        match (known, self.settings.classes[request.class].group) {
-            (_, Group::All) => true,
-            (None, _) => group_of.is_none(),
-            (Some(other), Group::Zone) => listed.zone == self.servers[other].listed.zone,
-            (Some(other), Group::Cell) => listed.cell == self.servers[other].listed.cell,
+    /// The servers in service of a group; `None` if there are none.
+    fn group_servers(&self, group: RetryGroup) -> Option<&OrderedServers> {
+        match group {
+            RetryGroup::All => Some(self.servers.in_service()),
+            RetryGroup::Zone(zone) => self.servers.in_zone(zone),
+            RetryGroup::Cell(cell) => self.servers.in_cell(cell),
+            RetryGroup::Unknown => None,
         }
     }
 }
