--- a/crates/proxy/src/cluster/runtime.rs
+++ b/crates/proxy/src/cluster/runtime.rs
@@ -257,11 +257,11 @@
                 }
                 Action::Cancel { id, attempt } => cancel_attempt(state, &id, attempt),
                 Action::Reject { id, retry_after, reason } => {
-                    trace::request_ended(&id, state.requests.get(&id), reason);
+                    trace::request_ended(&id, &state.requests, reason);
                     state.reject(&id, retry_after);
                 }
                 Action::Fail { id, reason } => {
-                    trace::request_ended(&id, state.requests.get(&id), reason);
+                    trace::request_ended(&id, &state.requests, reason);
                     let outcome = RequestOutcome::Failed { timed_out: false };
                     drop(state.requests.conclude(&id, outcome));
                 }
--- a/crates/proxy/src/cluster/serve.rs
+++ b/crates/proxy/src/cluster/serve.rs
@@ -70,9 +70,7 @@
         let settings = self.classes.get(class);
         let pending = PendingRequest::new(request, class, settings, deadline, response);
         let id = state.requests.insert(pending);
-        if let Some(pending) = state.requests.get(&id) {
-            trace::request_began(&id, pending, Duration::from_nanos(metadata.client_timeout));
-        }
+        trace::request_began(&id, &state.requests, Duration::from_nanos(metadata.client_timeout));
         state.events.push_back(Event::Request {
             id: id.clone(),
             class: metadata.class,
--- a/crates/proxy/src/cluster/trace.rs
+++ b/crates/proxy/src/cluster/trace.rs
@@ -3,7 +3,7 @@
 //!
 //! Nothing is formatted unless a subscriber takes them.
 
-use super::pending_requests::PendingRequest;
+use super::pending_requests::{PendingRequest, PendingRequests};
 use super::request::RequestOutcome;
 use hyper::header::HeaderValue;
 use mintshelf_balancer::api::{
@@ -14,6 +14,16 @@
 use std::time::Duration;
 use tracing::{debug, enabled, Level};
 
+/// Whether a subscriber takes the events of this module.
+fn is_enabled() -> bool {
+    enabled!(Level::DEBUG)
+}
+
+/// The request of an event; none where no subscriber takes it.
+fn taken<'a>(id: &RequestId, requests: &'a PendingRequests) -> Option<&'a PendingRequest> {
+    is_enabled().then(|| requests.get(id))?
+}
+
 /// The id that the client gave a request; empty where it gave none.
 fn transaction_id(request: &PendingRequest) -> &str {
     let id = request.request.transaction_id.as_ref().map(HeaderValue::to_str);
@@ -21,7 +31,8 @@
 }
 
 /// A request was handed to the balancer.
-pub(super) fn request_began(id: &RequestId, request: &PendingRequest, timeout: Duration) {
+pub(super) fn request_began(id: &RequestId, requests: &PendingRequests, timeout: Duration) {
+    let Some(request) = taken(id, requests) else { return };
     debug!(
         request = %id,
         transaction = transaction_id(request),
@@ -32,8 +43,8 @@
 }
 
 /// The balancer ended a request without a response of a server.
-pub(super) fn request_ended(id: &RequestId, request: Option<&PendingRequest>, reason: EndReason) {
-    let Some(request) = request else { return };
+pub(super) fn request_ended(id: &RequestId, requests: &PendingRequests, reason: EndReason) {
+    let Some(request) = taken(id, requests) else { return };
     debug!(
         request = %id,
         transaction = transaction_id(request),
@@ -102,7 +113,7 @@
     /// Counts the entries; none unless events at DEBUG are taken.
     pub(super) fn count(servers: &[ListedServer]) -> Self {
         let mut changes = ListChanges::default();
-        if !enabled!(Level::DEBUG) {
+        if !is_enabled() {
             return changes;
         }
         for server in servers {
