Discovery: a truncated list without its revision only takes servers out of service

Cause: such a list was applied as if it were current.

Measured: the new test fails without it (two servers put into service, none allowed); the packages' list tests and `races::discovery` pass.

--- a/crates/proxy/src/discovery/reader.rs
+++ b/crates/proxy/src/discovery/reader.rs
@@ -65,13 +65,17 @@
 
     /// Applies a list. `was_received_whole`: its response came to its end.
     ///
-    /// Entries of a truncated response are applied as far as they came. Nothing of a malformed
-    /// one is: an error within a complete response makes all of it doubtful.
+    /// Entries of a truncated response are applied as far as they came; where its revision did not
+    /// come, it may be older than the current list, and only what takes servers out of service is.
+    /// Nothing of a malformed one is: an error within a complete response makes all of it doubtful.
     pub fn apply(&mut self, list: EndpointList, was_received_whole: bool) -> ListUpdate {
         let is_valid = list.is_well_formed && was_received_whole;
         let is_truncated = !was_received_whole;
         let is_full = is_valid && list.has_all_endpoints;
-        let entries = list.entries.filter(|_| is_valid || is_truncated).unwrap_or_default();
+        let mut entries = list.entries.filter(|_| is_valid || is_truncated).unwrap_or_default();
+        if list.revision.is_none() {
+            entries.retain(|entry| entry.state != EntryState::Serving);
+        }
         if is_full {
             self.numbers.begin_complete_list();
         }
--- a/crates/proxy/tests/endpoint_lists.rs
+++ b/crates/proxy/tests/endpoint_lists.rs
@@ -45,6 +45,23 @@
     assert!(addresses.address(servers[0].id).is_some());
 }
 
+#[test]
+fn a_truncated_list_without_its_revision_only_withdraws() {
+    let draining = ENTRY.replace("SERVING", "DRAINING").replace("s-1", "s-2");
+    let current = format!(r#"{{"rev":41,"all":true,"targets":[{draining}]}}"#);
+    let serving = draining.replace("DRAINING", "SERVING");
+    let deleted = draining.replace("DRAINING", "DELETED");
+    for (entry, state) in [(serving, None), (deleted, Some(EndpointState::Removed))] {
+        let mut reader = reader();
+        apply(&mut reader, &current, true);
+        // Whether it is older than the current one can't be told.
+        let truncated = format!(r#"{{"all":false,"targets":[{ENTRY},{entry},"#);
+        let Applied { servers, .. } = apply(&mut reader, &truncated, false);
+        let states: Vec<_> = servers.iter().map(|server| server.state).collect();
+        assert_eq!(states, Vec::from_iter(state));
+    }
+}
+
 #[test]
 fn complete_entries_of_a_truncated_response_are_applied() {
     let text = format!(r#"{{"rev":41,"all":true,"targets":[{ENTRY},{ENTRY}]}}"#);
