Test support: a read that a signal interrupts is made again

Cause: `a_connection_that_ends_at_rest_carries_no_request` failed once of a whole run, a response that "did not come". Logs of the sidecar showed the client leaving after 6 to 9 ms; the fixture's read had ended with EINTR, which Linux gives sockets with a timeout without any handler, and took it for the end of the connection.

Change: `read_some` reads again after EINTR, in the fixture and in tests that read by hand.

--- a/crates/mintshelf/tests/gateway/disconnects.rs
+++ b/crates/mintshelf/tests/gateway/disconnects.rs
@@ -2,8 +2,8 @@
 
 use crate::fixture::{daemon, file, PROGRAM};
 use mintshelf_test_support::{
-    connect, free_address, get, ok_response, read_to_close, send_request, wait_until, Daemon,
-    Message, Peer, Server,
+    connect, free_address, get, ok_response, read_some, read_to_close, send_request, wait_until,
+    Daemon, Message, Peer, Server,
 };
 use std::io::{Read, Write};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -32,7 +32,7 @@
     let (count, over) = (begun.clone(), ended.clone());
     let server = Peer::start(move |mut stream| {
         let mut buffer = vec![0; 64 << 10];
-        while let Ok(some @ 1..) = stream.read(&mut buffer) {
+        while let Ok(some @ 1..) = read_some(&mut stream, &mut buffer) {
             count.fetch_add(some, Ordering::Relaxed);
         }
         over.store(true, Ordering::Relaxed);
--- a/crates/mintshelf/tests/gateway/failures.rs
+++ b/crates/mintshelf/tests/gateway/failures.rs
@@ -2,9 +2,10 @@
 
 use crate::fixture::{daemon, file, PROGRAM};
 use mintshelf_test_support::{
-    connect, free_address, get, ok_response, read_to_close, Daemon, Message, Peer, Server,
+    connect, free_address, get, ok_response, read_some, read_to_close, Daemon, Message, Peer,
+    Server,
 };
-use std::io::{Read, Write};
+use std::io::Write;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
@@ -86,7 +87,7 @@
         let mut buffer = vec![0; 64 << 10];
         let mut seen = 0;
         while seen < 400_000 {
-            match stream.read(&mut buffer) {
+            match read_some(&mut stream, &mut buffer) {
                 Ok(count @ 1..) => seen += count,
                 _ => return,
             }
--- a/crates/mintshelf/tests/gateway/streaming.rs
+++ b/crates/mintshelf/tests/gateway/streaming.rs
@@ -1,8 +1,8 @@
 //! Large bodies pass with bounded memory.
 
 use crate::fixture::daemon;
-use mintshelf_test_support::{connect, get, ok_response, Message, Peer, Process as _};
-use std::io::{Read, Write};
+use mintshelf_test_support::{connect, get, ok_response, read_some, Message, Peer, Process as _};
+use std::io::Write;
 use std::net::TcpStream;
 
 /// Bytes that differ by place, so that a swap or a loss shows.
@@ -17,7 +17,7 @@
     let mut head = Vec::new();
     let mut byte = [0];
     while !head.ends_with(b"\r\n\r\n") {
-        if stream.read(&mut byte).unwrap_or(0) == 0 {
+        if read_some(stream, &mut byte).unwrap_or(0) == 0 {
             return None;
         }
         head.push(byte[0]);
@@ -55,7 +55,7 @@
     let mut buffer = vec![0; 64 << 10];
     let mut is_intact = true;
     while received < BODY_BYTES {
-        let count = stream.read(&mut buffer).unwrap_or(0);
+        let count = read_some(&mut stream, &mut buffer).unwrap_or(0);
         if count == 0 {
             return;
         }
@@ -81,7 +81,7 @@
     let mut received = 0;
     let mut buffer = vec![0; 64 << 10];
     while received < BODY_BYTES {
-        let count = stream.read(&mut buffer).unwrap();
+        let count = read_some(&mut stream, &mut buffer).unwrap();
         assert!(count > 0, "ended at {received}");
         assert!(is_pattern(&buffer[..count], received));
         received += count;
--- a/crates/mintshelf/tests/races/closes.rs
+++ b/crates/mintshelf/tests/races/closes.rs
@@ -2,10 +2,10 @@
 
 use crate::fixture::{ids, while_stopped, PROGRAM};
 use mintshelf_test_support::{
-    config, connect, free_address, ok_response, request, wait_until, Discovery, Message,
+    config, connect, free_address, ok_response, read_some, request, wait_until, Discovery, Message,
     Process as _, Server, Sidecar,
 };
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
@@ -39,9 +39,9 @@
     let (server, _discovery, sidecar) = start();
     let mut resting = connect_and_send(sidecar.at, "first");
     sidecar.signal("TERM");
-    assert_eq!(resting.read(&mut [0; 16]).unwrap(), 0, "closed in good order");
+    assert_eq!(read_some(&mut resting, &mut [0; 16]).unwrap(), 0, "closed in good order");
     assert!(!is_reset_by_writes(&mut resting));
-    assert_eq!(resting.read(&mut [0; 16]).unwrap(), 0);
+    assert_eq!(read_some(&mut resting, &mut [0; 16]).unwrap(), 0);
     assert_eq!(ids(&server), ["first"]);
 }
 
@@ -94,7 +94,7 @@
     let mut resting = connect_and_send(sidecar.at, "first");
     // More than it has places for: idle ones have to go.
     let connections: Vec<_> = (0..200).filter_map(|_| connect(sidecar.at)).collect();
-    assert_eq!(resting.read(&mut [0; 16]).unwrap(), 0, "closed in good order");
+    assert_eq!(read_some(&mut resting, &mut [0; 16]).unwrap(), 0, "closed in good order");
     drop(connections);
     assert_eq!(sidecar.send_request(&request("safe", "after")).unwrap().status(), 200);
     assert_eq!(ids(&server), ["first", "after"]);
--- a/crates/test-support/src/client.rs
+++ b/crates/test-support/src/client.rs
@@ -1,8 +1,8 @@
 //! Clients: connections, requests and metrics.
 
-use crate::message::{get, Message};
+use crate::message::{get, read_some, Message};
 use crate::wait::TEST_TIMEOUT;
-use std::io::{ErrorKind, Read, Write};
+use std::io::{ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -58,7 +58,7 @@
     let mut bytes = Vec::new();
     let mut buffer = [0; 4096];
     loop {
-        match stream.read(&mut buffer) {
+        match read_some(stream, &mut buffer) {
             Ok(0) => return bytes,
             Ok(count) => bytes.extend_from_slice(&buffer[..count]),
             Err(error) if error.kind() == ErrorKind::ConnectionReset => return bytes,
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -25,7 +25,7 @@
 #[doc(hidden)]
 pub use daemon::{Daemon, CONFIGURATION_APPLIED, CONFIGURATION_REJECTED};
 pub use discovery::{entry, Discovery};
-pub use message::{get, ok_response, Message};
+pub use message::{get, ok_response, read_some, Message};
 pub use process::Process;
 pub use server::{full_listener, Peer, Server};
 pub use sidecar::{config, set_deadlines, Sidecar};
--- a/crates/test-support/src/message.rs
+++ b/crates/test-support/src/message.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 messages as bytes, written and read without an HTTP library.
 
-use std::io::Read;
+use std::io::{self, ErrorKind, Read};
 use std::net::TcpStream;
 use std::time::Duration;
 
@@ -63,7 +63,7 @@
         let mut head = Vec::new();
         let mut byte = [0];
         while !head.ends_with(b"\r\n\r\n") {
-            if stream.read(&mut byte).ok()? == 0 {
+            if read_some(stream, &mut byte).ok()? == 0 {
                 return None;
             }
             head.push(byte[0]);
@@ -77,6 +77,19 @@
     }
 }
 
+/// Reads once, again where a signal has interrupted it: a socket with a timeout fails then.
+///
+/// # Errors
+/// Any other than [`ErrorKind::Interrupted`].
+pub fn read_some(stream: &mut impl Read, buffer: &mut [u8]) -> io::Result<usize> {
+    loop {
+        match stream.read(buffer) {
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            result => return result,
+        }
+    }
+}
+
 /// The bytes of a GET request.
 pub fn get(path: &str) -> Vec<u8> {
     format!("GET {path} HTTP/1.1\r\nHost: h\r\n\r\n").into_bytes()
