Races: a test, failing: a drain written to the old watch as discovery moves is not read

Cause: after SIGHUP the watch at the old address goes on until the call to the new one is due, and is then aborted with what is unread in its socket. What discovery has written counts as notified; a process that is slow, as in a large fleet, is late to read it, and hears of the drain only when the new discovery answers, seconds later if that is crowded.

--- a/crates/mintshelf/tests/races/discovery.rs
+++ b/crates/mintshelf/tests/races/discovery.rs
@@ -345,3 +345,38 @@
     let beside = ids(&drained).iter().filter(|id| id.starts_with("beside")).count();
     assert_eq!(beside, 0, "requests sent to a drained server");
 }
+
+/// A drain that was written to the watch at the old address when the new one came into force was
+/// dropped with the watch, and heard only once the new discovery answered.
+#[test]
+fn a_drain_that_is_written_as_discovery_moves_is_read() {
+    const SIGNAL_TAKEN: Duration = Duration::from_millis(10);
+    let drained = Server::start(|_, _| Some(ok_response("served")));
+    let sound = Server::start(|_, _| Some(ok_response("served")));
+    let entries = || vec![drained.entry("a"), sound.entry("b")];
+    let discovery = Discovery::start(1, entries());
+    let moved = Scripted::start(&[Reaction::Silence], |_| Vec::new());
+    let mut sidecar = Sidecar::start(PROGRAM, config(discovery.at, entries()));
+    wait_until("the first watch", || *discovery.calls.lock().unwrap() > 0);
+    let mut file = sidecar.config.clone();
+    file["discovery"] = json!(moved.peer.at.to_string());
+    sidecar.reload(&file.to_string());
+    // The signal is taken, and the call to the new address due while the process is stopped.
+    thread::sleep(SIGNAL_TAKEN);
+    while_stopped(&sidecar, || {
+        let calls = *discovery.calls.lock().unwrap();
+        let mut draining = drained.entry("a");
+        draining["state"] = json!("DRAINING");
+        discovery.change(vec![draining]);
+        wait_until("the change is written", || *discovery.calls.lock().unwrap() > calls);
+        thread::sleep(Duration::from_millis(600));
+    });
+    wait_until("the new address is asked", || !moved.calls().is_empty());
+    // Longer than a drain's grace, and shorter than a call waits for its response.
+    thread::sleep(Duration::from_millis(300));
+    for number in 0..20 {
+        let got = sidecar.send_request(&request("safe", &format!("r{number}"))).unwrap();
+        assert_eq!(got.status(), 200);
+    }
+    assert_eq!(ids(&drained), Vec::<String>::new(), "requests sent to a drained server");
+}
