Discovery: a replaced watch is still read until the next one has a response

Change: `WatchTasks` owns the watch and up to four before it. A replaced watch ends with its call's response, with the first response of another call, or after 2 s; its list is applied if it is newer than the one in force, and its failure is not reported. A list that arrives is waited for on each open connection to discovery; so far the last one opened was looked at alone, so that a single fetch hid the watch.

--- a/crates/proxy/src/cluster/endpoint_source.rs
+++ b/crates/proxy/src/cluster/endpoint_source.rs
@@ -1,6 +1,7 @@
 //! Where a cluster's endpoints come from: discovery, or lists that others set.
 
 use crate::discovery::reader::EndpointListReader;
+use crate::discovery::watch_tasks::WatchTasks;
 use crate::discovery::Discovery;
 use crate::endpoints::{EndpointListObserver, Endpoints};
 use crate::upstream::connection::Target;
@@ -9,14 +10,14 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::task::{spawn_local, AbortHandle};
+use tokio::task::spawn_local;
 
 /// The endpoints of a cluster, and the discovery service that lists them.
 pub(crate) struct EndpointSource {
     pub(crate) endpoints: Endpoints,
     /// Absent where lists are set from elsewhere.
     discovery: Option<Rc<Discovery>>,
-    watch: RefCell<Option<AbortHandle>>,
+    watches: RefCell<WatchTasks>,
 }
 
 impl EndpointSource {
@@ -25,7 +26,7 @@
         let endpoints = Endpoints::default();
         let reader = EndpointListReader::new(names, endpoints.clone());
         let discovery = address.map(|address| Rc::new(Discovery::new(reader, address)));
-        EndpointSource { endpoints, discovery, watch: RefCell::default() }
+        EndpointSource { endpoints, discovery, watches: RefCell::default() }
     }
 
     /// A server with its address, if it is listed.
@@ -47,14 +48,13 @@
         }
     }
 
-    /// Stops watching; watches anew if `is_on`.
+    /// Stops watching; watches anew if `is_on`, and then what is on its way to the watch before is
+    /// still read.
     pub(crate) fn set_watch(&self, is_on: bool, observer: impl EndpointListObserver) {
-        let mut watch = self.watch.borrow_mut();
-        if let Some(watch) = watch.take() {
-            watch.abort();
-        }
-        if let Some(discovery) = self.discovery.clone().filter(|_| is_on) {
-            *watch = Some(spawn_local(discovery.watch(observer)).abort_handle());
+        let mut watches = self.watches.borrow_mut();
+        match self.discovery.clone().filter(|_| is_on) {
+            Some(discovery) => watches.replace(discovery, observer),
+            None => watches.stop(),
         }
     }
 
--- a/crates/proxy/src/discovery/mod.rs
+++ b/crates/proxy/src/discovery/mod.rs
@@ -4,6 +4,7 @@
 pub mod list;
 pub mod reader;
 mod server_numbers;
+pub(crate) mod watch_tasks;
 
 use crate::endpoints::EndpointListObserver;
 use client::{DiscoveryClient, ReceivedBody};
@@ -16,7 +17,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{sleep, Instant};
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout, Instant};
+use tokio_util::sync::CancellationToken;
 
 /// Least time between the starts of two polls of a watch, short enough to keep it established.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -31,11 +34,17 @@
 /// agent is silent until it has a list, and that list is wanted at once.
 const AGENT_RESPONSE_GRACE: Duration = Duration::from_millis(500);
 
+/// How long a replaced watch may go on until the next one has its first response. After a change of
+/// its address discovery ends open calls at the old one in less.
+const REPLACED_WATCH_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// The discovery service of one cluster, at an address that may change.
 #[derive(Debug)]
 pub struct Discovery {
     reader: RefCell<EndpointListReader>,
     address: Cell<SocketAddr>,
+    /// Notified of each response that was handled.
+    response_handled: Notify,
     created_at: Instant,
 }
 
@@ -45,6 +54,7 @@
         Discovery {
             reader: RefCell::new(reader),
             address: Cell::new(address),
+            response_handled: Notify::new(),
             created_at: Instant::now(),
         }
     }
@@ -69,16 +79,35 @@
         DiscoveryClient::new(self.address.get(), self.reader.borrow().arrival())
     }
 
-    /// Watches until a call fails.
-    pub async fn watch(self: Rc<Self>, observer: impl EndpointListObserver) {
+    /// Watches until a call fails. Once another watch has `replaced` this one, its call goes on
+    /// until that one has a response, and nothing follows.
+    pub async fn watch(
+        self: Rc<Self>,
+        observer: impl EndpointListObserver,
+        replaced: CancellationToken,
+    ) {
         let mut client = self.connect();
         let mut watch = WatchState::default();
         loop {
             let started_at = Instant::now();
-            let timeout = watch.poll_timeout();
-            let response =
-                client.poll_changes(self.revision(), timeout, watch.response_grace()).await;
-            let outcome = self.handle_response(&mut client, &observer, response).await;
+            let poll_timeout = watch.poll_timeout();
+            let call = client.poll_changes(self.revision(), poll_timeout, watch.response_grace());
+            let response = tokio::select! {
+                biased;
+                response = call => response,
+                () = self.superseded(&replaced) => return,
+            };
+            if replaced.is_cancelled() {
+                return self.handle_last_response(&response, &observer);
+            }
+            let outcome = tokio::select! {
+                biased;
+                outcome = self.handle_response(&mut client, &observer, response) => outcome,
+                () = self.superseded(&replaced) => return,
+            };
+            if replaced.is_cancelled() {
+                return;
+            }
             match watch.on_call_end(outcome) {
                 NextCall::Continue => {}
                 NextCall::Reconnect => client = self.connect(),
@@ -89,6 +118,24 @@
         }
     }
 
+    /// Waits until a watch was replaced and the one in its place has a response, or has waited for
+    /// one long enough.
+    async fn superseded(&self, replaced: &CancellationToken) {
+        replaced.cancelled().await;
+        // An elapsed timeout ends the watch as well.
+        let _ = timeout(REPLACED_WATCH_TIMEOUT, self.response_handled.notified()).await;
+    }
+
+    /// Applies the last response of a replaced watch, unless its list is older than the current
+    /// one or did not come.
+    fn handle_last_response(&self, response: &ReceivedBody, observer: &impl EndpointListObserver) {
+        let list = EndpointList::parse(&response.bytes);
+        if list.revision.is_some_and(|revision| revision > self.revision()) {
+            self.apply(list, response, observer);
+        }
+        self.reader.borrow().arrival().response_handled();
+    }
+
     /// Fetches the complete list once.
     pub async fn fetch(self: Rc<Self>, observer: impl EndpointListObserver) {
         let mut client = self.connect();
@@ -138,6 +185,7 @@
                 self.apply(list, &response, observer);
             }
             self.reader.borrow().arrival().response_handled();
+            self.response_handled.notify_waiters();
             if verdict == Verdict::Accept {
                 return response.outcome(is_valid);
             }
--- /dev/null
+++ b/crates/proxy/src/discovery/watch_tasks.rs
@@ -0,0 +1,60 @@
+//! The task of a watch, and those of watches that it has replaced.
+
+use super::Discovery;
+use crate::endpoints::EndpointListObserver;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use tokio::task::{spawn_local, AbortHandle};
+use tokio_util::sync::CancellationToken;
+
+/// Replaced watches that are still read, at most: a few changes of discovery's address in a row.
+const REPLACED_MAX: usize = 4;
+
+/// The watch of one discovery service, and those before it, whose last responses may be on their
+/// way: what the service has written counts as received.
+#[derive(Debug, Default)]
+pub(crate) struct WatchTasks {
+    current: Option<WatchTask>,
+    replaced: VecDeque<WatchTask>,
+}
+
+/// One watch; its task ends when this is dropped.
+#[derive(Debug)]
+struct WatchTask {
+    task: AbortHandle,
+    /// Cancelled when another watch takes its place.
+    replaced: CancellationToken,
+}
+
+impl Drop for WatchTask {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl WatchTasks {
+    /// Begins a watch in place of the current one.
+    pub(crate) fn replace(
+        &mut self,
+        discovery: Rc<Discovery>,
+        observer: impl EndpointListObserver,
+    ) {
+        let replaced = CancellationToken::new();
+        let watch = discovery.watch(observer, replaced.clone());
+        let watch = WatchTask { task: spawn_local(watch).abort_handle(), replaced };
+        if let Some(before) = self.current.replace(watch) {
+            before.replaced.cancel();
+            self.replaced.push_back(before);
+        }
+        self.replaced.retain(|watch| !watch.task.is_finished());
+        if self.replaced.len() > REPLACED_MAX {
+            self.replaced.pop_front();
+        }
+    }
+
+    /// Ends all watches.
+    pub(crate) fn stop(&mut self) {
+        self.current = None;
+        self.replaced.clear();
+    }
+}
--- a/crates/proxy/src/list_arrival.rs
+++ b/crates/proxy/src/list_arrival.rs
@@ -15,19 +15,22 @@
 /// not waited for.
 const PROGRESS_GAP: Duration = Duration::from_millis(30);
 
-/// Follows the connection on which lists arrive.
+/// Follows the connections on which lists arrive.
 #[derive(Debug, Default)]
 pub struct ListArrival {
-    stream: RefCell<Weak<RefCell<TcpStream>>>,
+    /// Those that are open, and some that were.
+    streams: RefCell<Vec<Weak<RefCell<TcpStream>>>>,
     /// When bytes of a response that has not been handled yet were last read.
     read_at: Cell<Option<Instant>>,
     handled: Notify,
 }
 
 impl ListArrival {
-    /// Sets the connection on which lists arrive.
+    /// Adds a connection on which lists arrive, until it is dropped.
     pub fn follow(&self, stream: &SharedStream) {
-        *self.stream.borrow_mut() = Rc::downgrade(stream);
+        let mut streams = self.streams.borrow_mut();
+        streams.retain(|stream| stream.strong_count() > 0);
+        streams.push(Rc::downgrade(stream));
     }
 
     /// Reports that a response has been handled: its list, if it had one, is applied.
@@ -54,8 +57,9 @@
     }
 
     fn has_unread(&self) -> bool {
-        let stream = self.stream.borrow().upgrade();
-        stream.is_some_and(|stream| pending(&stream) == Pending::Bytes)
+        let streams = self.streams.borrow();
+        let mut open = streams.iter().filter_map(Weak::upgrade);
+        open.any(|stream| pending(&stream) == Pending::Bytes)
     }
 }
 
