--- a/crates/test-support/src/soak/clients.rs
+++ b/crates/test-support/src/soak/clients.rs
@@ -18,8 +18,8 @@
 const DISCONNECTING: f64 = 0.03;
 /// Part of the requests that are written in two parts, where there are slow clients.
 const SLOW: f64 = 0.1;
-/// The pause between these, in milliseconds.
-const SLOW_PAUSE_MS: (u64, u64) = (5, 200);
+/// The delay between these, in milliseconds.
+const SLOW_DELAY_MS: (u64, u64) = (5, 200);
 /// Clients that begin a request and stop, for each that sends one completely.
 const STOPPING: f64 = 0.03;
 /// An incomplete request has its response or its connection's end by then: 3 s, and half a second
@@ -202,8 +202,8 @@
         // A connection that takes no more has ended; its reading shows how.
         let _ = stream.write(first).await;
         if is_slow {
-            let pause = self.slow_draw.borrow_mut().millis(SLOW_PAUSE_MS.0, SLOW_PAUSE_MS.1);
-            sleep(pause).await;
+            let delay = self.slow_draw.borrow_mut().millis(SLOW_DELAY_MS.0, SLOW_DELAY_MS.1);
+            sleep(delay).await;
             let _ = stream.write(rest).await;
         }
     }
--- a/crates/test-support/src/soak/discovery.rs
+++ b/crates/test-support/src/soak/discovery.rs
@@ -20,7 +20,7 @@
 
 /// Into how many pieces a list is cut where it comes slowly.
 const PIECES: usize = 8;
-const PIECE_PAUSE: Duration = Duration::from_millis(20);
+const PIECE_DELAY: Duration = Duration::from_millis(20);
 
 /// State of a listed server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -63,7 +63,7 @@
             revision: watch::Sender::new(0),
             is_down: watch::Sender::new(false),
             silences: watch::Sender::new(0),
-            delivery: Cell::new(ListDelivery::Whole),
+            delivery: Cell::new(ListDelivery::Complete),
             draw: RefCell::new(draw),
             answers_completely: Cell::new(false),
             unnotified: RefCell::default(),
@@ -136,7 +136,7 @@
     pub(super) async fn deliver(&self, delivery: ListDelivery, lasts: Duration) {
         self.delivery.set(delivery);
         sleep(lasts).await;
-        self.delivery.set(ListDelivery::Whole);
+        self.delivery.set(ListDelivery::Complete);
     }
 
     /// The complete list, for a configuration.
@@ -193,7 +193,7 @@
     /// Sends a response as lists are delivered now; whether it was sent completely.
     async fn write(&self, response: &[u8], stream: &mut MessageStream) -> bool {
         let result = match self.delivery.get() {
-            ListDelivery::Whole => stream.write(response).await,
+            ListDelivery::Complete => stream.write(response).await,
             ListDelivery::Slow => write_slowly(response, stream).await,
             ListDelivery::CutOff => {
                 let length = self.draw.borrow_mut().between(1, response.len() - 1);
@@ -245,11 +245,11 @@
     }
 }
 
-/// Sends a response in pieces, with pauses.
+/// Sends a response in pieces, with delays.
 async fn write_slowly(response: &[u8], stream: &mut MessageStream) -> io::Result<()> {
     for piece in response.chunks(response.len().div_ceil(PIECES)) {
         stream.write(piece).await?;
-        sleep(PIECE_PAUSE).await;
+        sleep(PIECE_DELAY).await;
     }
     Ok(())
 }
--- a/crates/test-support/src/soak/oracle.rs
+++ b/crates/test-support/src/soak/oracle.rs
@@ -118,9 +118,9 @@
 fn late_attempts(request: &RequestRecord, attempts: &[&AttemptRecord]) -> Vec<Violation> {
     let mut violations = Vec::new();
     for attempt in attempts {
-        let after_leaving = attempt.began_at.saturating_duration_since(request.ended_at);
-        if request.ending == Ending::Left && after_leaving > LEFT_GRACE {
-            let text = format!("an attempt {after_leaving:?} after its client left");
+        let after_disconnect = attempt.began_at.saturating_duration_since(request.ended_at);
+        if request.ending == Ending::Left && after_disconnect > LEFT_GRACE {
+            let text = format!("an attempt {after_disconnect:?} after its client left");
             violations.push(violation(Rule::Lost, request, text));
         }
         let stated = attempt.remaining.unwrap_or_default();
@@ -163,11 +163,11 @@
 /// and at the latest a while after discovery could have told it.
 fn notified_at(records: &Records, server: &ServerRecord) -> Option<Instant> {
     let withdrawn_at = server.withdrawn_at?;
-    let told_by = reachable_for(records, withdrawn_at, NOTIFIED_AFTER);
+    let notified_by = reachable_for(records, withdrawn_at, NOTIFIED_AFTER);
     let reloads = records.reloads.iter().filter(|at| **at >= withdrawn_at);
-    let told_after_reload =
+    let notified_by_reload =
         reloads.filter_map(|at| reachable_for(records, *at, NOTIFIED_AFTER_RELOAD)).min();
-    [server.withdrawal_written_at, told_by, told_after_reload].into_iter().flatten().min()
+    [server.withdrawal_written_at, notified_by, notified_by_reload].into_iter().flatten().min()
 }
 
 /// The end of the first `time` from `since` on in which discovery could be reached throughout.
--- a/crates/test-support/src/soak/scenario.rs
+++ b/crates/test-support/src/soak/scenario.rs
@@ -52,10 +52,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ListDelivery {
     /// Answers them.
-    Whole,
+    Complete,
     /// Ends the connection within its answers.
     CutOff,
-    /// Sends its answers in pieces, with pauses.
+    /// Sends its answers in pieces, with delays.
     Slow,
 }
 
