--- a/crates/mintshelf/tests/races/attempts.rs
+++ b/crates/mintshelf/tests/races/attempts.rs
@@ -185,6 +185,24 @@
     }
 }
 
+#[test]
+fn an_incomplete_request_that_waited_to_be_accepted_is_ended_in_time() {
+    /// Clients that stop in the midst of a request are owed an error or a close by then.
+    const OWED: Duration = Duration::from_secs(3);
+    const HELD: Duration = Duration::from_millis(1_200);
+    let server = Server::start(|_, _| Some(ok_response("served")));
+    let discovery = Discovery::start(1, vec![server.entry("a")]);
+    let sidecar = Sidecar::start(PROGRAM, config(discovery.at, vec![server.entry("a")]));
+    let crowd = take_all_places(&sidecar);
+    let mut client = connect(sidecar.at).unwrap();
+    client.write_all(b"GET /api HTTP/1.1\r\nHost: a\r\nX-Tx").unwrap();
+    let written = Instant::now();
+    thread::sleep(HELD);
+    drop(crowd);
+    let _ = Message::read(&mut client);
+    assert!(written.elapsed() < OWED, "{:?}", written.elapsed());
+}
+
 #[test]
 fn a_request_behind_an_idle_crowd_is_accepted_at_once() {
     let server = Server::start(|_, _| Some(ok_response("served")));
