Clients: an incomplete first request's time counts from before its accept

Change: the time that a request waited in the accept queue is taken off the 2.5 s that it has to be complete; half a second is left to it at least. Evictions go by the accept as before. One name in the events' module.

--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -15,12 +15,16 @@
 /// Waits in the listener's queue that are shorter are not counted.
 const MIN_QUEUED: Duration = Duration::from_millis(5);
 
+/// What a first request that waited to be accepted has left of its time to be complete, at least.
+const MIN_RECEIVE: Duration = Duration::from_millis(500);
+
 /// How long a connection may be in its phases.
 #[derive(Debug, Clone, Copy)]
 pub struct ClientTimeouts {
     /// A request has to be complete this long after its first byte, and the first one of a
-    /// connection this long after the connection. Guards against clients that send nothing, stop
-    /// half-way or go on for ever; it would harm one that sends a request slower than this.
+    /// connection this long after the connection; time that it waited to be accepted counts.
+    /// Guards against clients that send nothing, stop half-way or go on for ever; it would harm
+    /// one that sends a request slower than this.
     pub receive: Duration,
     /// An idle connection is closed after this.
     pub idle: Duration,
@@ -70,6 +74,8 @@
     phase: Cell<Phase>,
     /// When that phase began, or bytes last passed in it.
     phase_since: Cell<Instant>,
+    /// How long its first request may take from its accept on.
+    first_receive: Duration,
     timeouts: ClientTimeouts,
     /// The messages as they arrive.
     pub scanner: RefCell<RequestHeadScanner>,
@@ -108,11 +114,13 @@
         // A request that is not there yet was sent after the connection was accepted.
         let came_with_request = queued >= MIN_QUEUED && pending(&stream) == Pending::Bytes;
         let queued = if came_with_request { queued } else { Duration::ZERO };
+        let first_receive = timeouts.receive.saturating_sub(queued).max(MIN_RECEIVE);
         Client {
             stream,
             peer,
             phase: Cell::new(Phase::New),
             phase_since: Cell::new(Instant::now()),
+            first_receive: first_receive.min(timeouts.receive),
             timeouts,
             scanner: RefCell::default(),
             is_response_read: Cell::new(false),
@@ -173,7 +181,8 @@
     /// When the connection has been in its phase for too long.
     pub fn dead_at(&self) -> Instant {
         let timeout = match self.phase.get() {
-            Phase::Closing | Phase::New | Phase::Receiving => self.timeouts.receive,
+            Phase::New => self.first_receive,
+            Phase::Closing | Phase::Receiving => self.timeouts.receive,
             Phase::Idle => self.timeouts.idle,
             Phase::Busy => self.timeouts.busy,
         };
--- a/crates/proxy/src/cluster/trace.rs
+++ b/crates/proxy/src/cluster/trace.rs
@@ -20,7 +20,7 @@
 }
 
 /// The request of an event; none where no subscriber takes it.
-fn taken<'a>(id: &RequestId, requests: &'a PendingRequests) -> Option<&'a PendingRequest> {
+fn traced_request<'a>(id: &RequestId, requests: &'a PendingRequests) -> Option<&'a PendingRequest> {
     is_enabled().then(|| requests.get(id))?
 }
 
@@ -32,7 +32,7 @@
 
 /// A request was handed to the balancer.
 pub(super) fn request_began(id: &RequestId, requests: &PendingRequests, timeout: Duration) {
-    let Some(request) = taken(id, requests) else { return };
+    let Some(request) = traced_request(id, requests) else { return };
     debug!(
         request = %id,
         transaction = transaction_id(request),
@@ -44,7 +44,7 @@
 
 /// The balancer ended a request without a response of a server.
 pub(super) fn request_ended(id: &RequestId, requests: &PendingRequests, reason: EndReason) {
-    let Some(request) = taken(id, requests) else { return };
+    let Some(request) = traced_request(id, requests) else { return };
     debug!(
         request = %id,
         transaction = transaction_id(request),
