Discovery: a replaced watch is read for what has come alone, not until the next response

Change: a replaced watch ends once nothing of a response is on its way (`ListArrival`), after half a second at the latest. Its notification and its timeout go.

--- a/crates/proxy/src/discovery/mod.rs
+++ b/crates/proxy/src/discovery/mod.rs
@@ -17,8 +17,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::Notify;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{sleep, Instant};
 use tokio_util::sync::CancellationToken;
 
 /// Least time between the starts of two polls of a watch, short enough to keep it established.
@@ -34,17 +33,11 @@
 /// agent is silent until it has a list, and that list is wanted at once.
 const AGENT_RESPONSE_GRACE: Duration = Duration::from_millis(500);
 
-/// How long a replaced watch may go on until the next one has its first response. After a change of
-/// its address discovery ends open calls at the old one in less.
-const REPLACED_WATCH_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// The discovery service of one cluster, at an address that may change.
 #[derive(Debug)]
 pub struct Discovery {
     reader: RefCell<EndpointListReader>,
     address: Cell<SocketAddr>,
-    /// Notified of each response that was handled.
-    response_handled: Notify,
     created_at: Instant,
 }
 
@@ -54,7 +47,6 @@
         Discovery {
             reader: RefCell::new(reader),
             address: Cell::new(address),
-            response_handled: Notify::new(),
             created_at: Instant::now(),
         }
     }
@@ -79,8 +71,8 @@
         DiscoveryClient::new(self.address.get(), self.reader.borrow().arrival())
     }
 
-    /// Watches until a call fails. Once another watch has `replaced` this one, its call goes on
-    /// until that one has a response, and nothing follows.
+    /// Watches until a call fails. Once another watch has `replaced` this one, what has come of a
+    /// response is still read, and nothing follows.
     pub async fn watch(
         self: Rc<Self>,
         observer: impl EndpointListObserver,
@@ -118,12 +110,11 @@
         }
     }
 
-    /// Waits until a watch was replaced and the one in its place has a response, or has waited for
-    /// one long enough.
+    /// Waits until a watch was replaced and no list is on its way.
     async fn superseded(&self, replaced: &CancellationToken) {
         replaced.cancelled().await;
-        // An elapsed timeout ends the watch as well.
-        let _ = timeout(REPLACED_WATCH_TIMEOUT, self.response_handled.notified()).await;
+        let arrival = self.reader.borrow().arrival();
+        arrival.settled().await;
     }
 
     /// Applies the last response of a replaced watch, unless its list is older than the current
@@ -185,7 +176,6 @@
                 self.apply(list, &response, observer);
             }
             self.reader.borrow().arrival().response_handled();
-            self.response_handled.notify_waiters();
             if verdict == Verdict::Accept {
                 return response.outcome(is_valid);
             }
--- a/crates/proxy/src/discovery/watch_tasks.rs
+++ b/crates/proxy/src/discovery/watch_tasks.rs
@@ -10,8 +10,8 @@
 /// Replaced watches that are still read, at most: a few changes of discovery's address in a row.
 const REPLACED_MAX: usize = 4;
 
-/// The watch of one discovery service, and those before it, whose last responses may be on their
-/// way: what the service has written counts as received.
+/// The watch of one discovery service, and those before it, whose last responses may be unread:
+/// what the service has written counts as received. They end within half a second.
 #[derive(Debug, Default)]
 pub(crate) struct WatchTasks {
     current: Option<WatchTask>,
