Log events tell the balancer's verdict and the status that a client gets

Three causes were possible: the balancer rejects, because an attempt is taken for one that never ran; the full server is asked last, so that the 503 is a later attempt's; or a response of an earlier attempt takes the place of the balancer's decision. The debug log had the attempts, but neither whether the balancer rejected or failed a request nor what its client got.

Change: `request ended without a response` has the `verdict`, `request concluded` the `status` of a server's response.

--- a/crates/proxy/src/cluster/runtime.rs
+++ b/crates/proxy/src/cluster/runtime.rs
@@ -13,7 +13,7 @@
 use super::request::RequestOutcome;
 use super::spec::{ClusterSpec, DiscoverySpec};
 use super::state::RuntimeState;
-use super::trace::{self, ListChanges};
+use super::trace::{self, ListChanges, Verdict};
 use crate::clock::Clock;
 use crate::endpoints::{Endpoint, EndpointListObserver};
 use crate::upstream::pool::{ConnectionPool, Upstream};
@@ -181,11 +181,11 @@
             }
             Action::Cancel { id, attempt } => state.requests.cancel_attempt(&id, attempt),
             Action::Reject { id, retry_after, reason } => {
-                trace::request_ended(&id, &state.requests, reason);
+                trace::request_ended(&id, &state.requests, Verdict::Rejected, reason);
                 state.reject(&id, retry_after);
             }
             Action::Fail { id, reason } => {
-                trace::request_ended(&id, &state.requests, reason);
+                trace::request_ended(&id, &state.requests, Verdict::Failed, reason);
                 state.fail(&id);
             }
             Action::SetTimer { after, token } => state.timers.set(token, after),
--- a/crates/proxy/src/cluster/trace.rs
+++ b/crates/proxy/src/cluster/trace.rs
@@ -43,13 +43,28 @@
     );
 }
 
+/// How the balancer ended a request without a server's response.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Verdict {
+    /// The client may safely send the request again.
+    Rejected,
+    /// The request may have run.
+    Failed,
+}
+
 /// Logs that the balancer ended a request without a server's response.
-pub(super) fn request_ended(id: &RequestId, requests: &PendingRequests, reason: EndReason) {
+pub(super) fn request_ended(
+    id: &RequestId,
+    requests: &PendingRequests,
+    verdict: Verdict,
+    reason: EndReason,
+) {
     let Some(request) = traced_request(id, requests) else { return };
     debug!(
         request = %id,
         transaction = transaction_id(request),
         attempts = request.attempts.len(),
+        ?verdict,
         ?reason,
         "request ended without a response"
     );
@@ -76,14 +91,24 @@
     }
 }
 
+/// Returns the status of the server's response that a client gets; `None` if the client gets none.
+fn served_status(outcome: &RequestOutcome) -> Option<u16> {
+    match outcome {
+        RequestOutcome::Served(response) => Some(response.status.as_u16()),
+        _ => None,
+    }
+}
+
 /// Logs a request's final outcome; `None` if the client disconnected before the outcome.
 pub(super) fn request_concluded(
     id: &RequestId,
     outcome: Option<&RequestOutcome>,
     elapsed: Duration,
 ) {
+    let status = outcome.and_then(served_status);
     let outcome = outcome.map_or("client left", outcome_name);
-    debug!(request = %id, outcome, took_ms = from_duration(elapsed) / MILLISECOND, "request concluded");
+    let took_ms = from_duration(elapsed) / MILLISECOND;
+    debug!(request = %id, outcome, status, took_ms, "request concluded");
 }
 
 /// Logs that an endpoint list was applied, and that handling the queued events took `elapsed`.
