--- a/crates/mintshelf/tests/attempts/main.rs
+++ b/crates/mintshelf/tests/attempts/main.rs
@@ -4,4 +4,5 @@
 mod connections;
 mod effects;
 mod faulty_endpoints;
+mod final_responses;
 mod fixture;
--- a/crates/proxy/src/cluster/attempt.rs
+++ b/crates/proxy/src/cluster/attempt.rs
@@ -108,7 +108,7 @@
         load_report: Option<Vec<f64>>,
     ) {
         if matches!(outcome, Outcome::Error | Outcome::Full) {
-            self.supervisor.set_fallback(&self.id, response);
+            self.supervisor.store_fallback(&self.id, outcome, response);
         } else {
             self.deliver(response);
         }
--- a/crates/proxy/src/cluster/attempt_supervisor.rs
+++ b/crates/proxy/src/cluster/attempt_supervisor.rs
@@ -2,7 +2,7 @@
 
 use super::attempt_record::AttemptEnd;
 use crate::upstream::response::UpstreamResponse;
-use mintshelf_balancer::api::{Event, RequestId};
+use mintshelf_balancer::api::{Event, Outcome, RequestId};
 use std::rc::Rc;
 
 /// The owner of the requests whose attempts run: the runtime of their cluster.
@@ -16,8 +16,9 @@
     /// Delivers a response to its client, or drops it if no client waits for it.
     fn deliver(&self, id: &RequestId, response: UpstreamResponse);
 
-    /// Stores the response of a failed attempt, which is delivered if no other attempt succeeds.
-    fn set_fallback(&self, id: &RequestId, response: UpstreamResponse);
+    /// Stores the response of an attempt that failed with `outcome`. It is delivered if no other
+    /// attempt succeeds, unless what it states of the request's effect may be wrong.
+    fn store_fallback(&self, id: &RequestId, outcome: Outcome, response: UpstreamResponse);
 
     /// Returns whether the retry budget allows a retry now.
     fn can_retry(&self) -> bool;
--- a/crates/proxy/src/cluster/mod.rs
+++ b/crates/proxy/src/cluster/mod.rs
@@ -3,8 +3,8 @@
 //!
 //! - `runtime.rs` is the loop of events and actions, `serve.rs` handles a client's request,
 //!   `status.rs` reads the state for metrics and other modules, and `trace.rs` logs at level DEBUG.
-//! - `state.rs`, `pending_requests.rs`, `attempt_record.rs` and `timers.rs` hold the state that a
-//!   turn of that loop changes.
+//! - `state.rs`, `pending_requests.rs`, `attempt_record.rs`, `fallback.rs` and `timers.rs` hold the
+//!   state that a turn of that loop changes.
 //! - `attempt_start.rs` starts an attempt and `attempt.rs` runs it; `attempt_context.rs` is shared
 //!   by all attempts, `attempt_supervisor.rs` is their interface to the runtime, and
 //!   `attempt_timeouts.rs` applies their own timeouts and sends hedges.
@@ -20,6 +20,7 @@
 mod attempt_supervisor;
 mod attempt_timeouts;
 mod endpoint_source;
+mod fallback;
 mod health_check;
 pub mod peers;
 mod pending_requests;
--- a/crates/proxy/src/cluster/pending_requests.rs
+++ b/crates/proxy/src/cluster/pending_requests.rs
@@ -1,10 +1,10 @@
 //! The pending requests of a cluster and their attempts.
 
 use super::attempt_record::{Attempt, AttemptEnd, EndedAttempt, NewAttempt};
+use super::fallback::Fallback;
 use super::pending_response::PendingResponse;
 use super::request::{RequestOutcome, UpstreamRequest};
 use crate::upstream::attempt_control::AttemptControl;
-use crate::upstream::response::UpstreamResponse;
 use hyper::header::HeaderValue;
 use mintshelf_balancer::api::{AttemptNumber, Class, ClassId, Event, Outcome, RequestId, ServerId};
 use mintshelf_time::Nanos;
@@ -22,8 +22,7 @@
     pub(crate) response: Option<Rc<PendingResponse<RequestOutcome>>>,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) attempts_in_flight: usize,
-    /// The response of a failed attempt, delivered if no other attempt succeeds.
-    pub(crate) fallback: Option<UpstreamResponse>,
+    pub(crate) fallback: Fallback,
     /// Whether the attempt that ended last timed out.
     pub(crate) timed_out: bool,
 }
@@ -46,7 +45,7 @@
             response: Some(response),
             attempts: Vec::new(),
             attempts_in_flight: 0,
-            fallback: None,
+            fallback: Fallback::default(),
             timed_out: false,
         }
     }
@@ -149,14 +148,16 @@
     }
 
     /// Resolves a request with the final outcome; returns the outcome if no client waits for the
-    /// outcome. A fallback response takes the place of a rejection or failure.
+    /// outcome. A fallback response takes the place of a rejection or failure that it does not
+    /// contradict.
     pub(crate) fn resolve(
         &mut self,
         id: &RequestId,
         outcome: RequestOutcome,
     ) -> Option<RequestOutcome> {
         let Some(request) = self.by_id.get_mut(id) else { return Some(outcome) };
-        let outcome = match (outcome, request.fallback.take()) {
+        let fallback = request.fallback.take(request.ran_at().is_some());
+        let outcome = match (outcome, fallback) {
             (RequestOutcome::Rejected { .. } | RequestOutcome::Failed { .. }, Some(fallback)) => {
                 RequestOutcome::Served(Box::new(fallback))
             }
--- a/crates/proxy/src/cluster/runtime.rs
+++ b/crates/proxy/src/cluster/runtime.rs
@@ -19,7 +19,7 @@
 use crate::upstream::pool::{ConnectionPool, Upstream};
 use crate::upstream::response::UpstreamResponse;
 use mintshelf_balancer::api::{
-    Action, EndpointState, Event, ListKind, ListedServer, RequestId, ServerId,
+    Action, EndpointState, Event, ListKind, ListedServer, Outcome, RequestId, ServerId,
 };
 use mintshelf_balancer::decide::Balancer;
 use mintshelf_config::balancer::ClusterServer;
@@ -247,9 +247,9 @@
         drop(undelivered);
     }
 
-    fn set_fallback(&self, id: &RequestId, response: UpstreamResponse) {
+    fn store_fallback(&self, id: &RequestId, outcome: Outcome, response: UpstreamResponse) {
         if let Some(request) = self.state.borrow_mut().requests.get_mut(id) {
-            request.fallback = Some(response);
+            request.fallback.store(outcome, response);
         }
     }
 
