A streamed "never ran" neither overtakes nor speaks for another attempt

What callers saw: a retry or a hedge that was turned away with a body too long or too slow to be stored went to the client at once. So the client got `X-Turned-Away: 1` though the attempt before it may have run (also where no time is left within the deduplication window, so that its retry runs twice), further servers were not tried, and a first attempt that was about to be served was cancelled for a hedge that was not.

Found by reading where else such a response reaches a client, and shown by the test.

Change: a response that states that its request never ran is dropped, and the attempt ends as `Full`, if another attempt of the request may have run; one in flight counts as such. The balancer then retries, rejects or fails the request as after a short response. The only attempt's long response is streamed as before.

--- a/crates/mintshelf/tests/attempts/final_responses.rs
+++ b/crates/mintshelf/tests/attempts/final_responses.rs
@@ -7,11 +7,15 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
 
 /// Settings of the cluster: the header with which servers state that a request never ran.
 const CLUSTER: &str = "never-ran-header = \"x-turned-away\"\nreturn-ramp = \"0s\"";
 /// Name of that header, as in [`CLUSTER`].
 const NEVER_RAN: &str = "x-turned-away";
+/// Body length at which a response is streamed to the client, in bytes.
+const STREAMED_BYTES: usize = 200 << 10;
 
 const UNSAFE: &str = "effect = \"unsafe\"\naim = \"800ms\"\ndeadline = \"1s\"";
 const SAFE: &str = "effect = \"safe\"\naim = \"800ms\"\ndeadline = \"2s\"";
@@ -29,8 +33,12 @@
     Hang,
     /// Responds 500: it ran.
     Fail,
+    /// Responds 200 after 1 s.
+    ServeLate,
     /// Responds 503 and states that the request never ran.
     TurnAway,
+    /// As `TurnAway`, with a body too long to be buffered.
+    TurnAwayAtLength,
 }
 
 impl Step {
@@ -42,14 +50,21 @@
                 Err(std::io::ErrorKind::UnexpectedEof.into())
             }
             Step::Fail => stream.write_all(b"HTTP/1.1 500 Oops\r\nContent-Length: 6\r\n\r\nfailed"),
-            Step::TurnAway => turn_away(stream),
+            Step::ServeLate => {
+                thread::sleep(Duration::from_secs(1));
+                stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nserved")
+            }
+            Step::TurnAway => turn_away(stream, 4),
+            Step::TurnAwayAtLength => turn_away(stream, STREAMED_BYTES),
         }
     }
 }
 
-fn turn_away(stream: &mut TcpStream) -> std::io::Result<()> {
-    let response = format!("HTTP/1.1 503 Full\r\n{NEVER_RAN}: 1\r\nContent-Length: 4\r\n\r\nfull");
-    stream.write_all(response.as_bytes())
+fn turn_away(stream: &mut TcpStream, body_bytes: usize) -> std::io::Result<()> {
+    let head =
+        format!("HTTP/1.1 503 Full\r\n{NEVER_RAN}: 1\r\nContent-Length: {body_bytes}\r\n\r\n");
+    stream.write_all(head.as_bytes())?;
+    stream.write_all(&vec![b'x'; body_bytes])
 }
 
 /// Servers that follow one script: the first attempt to arrive meets its first step, whichever server
@@ -117,7 +132,7 @@
     let response = send(&daemon, class);
     let attempts = servers.attempts();
     let is_problem = response.header("content-type") == Some("application/problem+json");
-    let never_ran = |step: &Step| *step == Step::TurnAway;
+    let never_ran = |step: &Step| matches!(step, Step::TurnAway | Step::TurnAwayAtLength);
     let promises_no_effect = response.header(NEVER_RAN).is_some();
     let is_expected = response.status() == *status
         && attempts == script.len()
@@ -163,3 +178,30 @@
         Row(IDEMPOTENT, &[TurnAway, TurnAway, TurnAway], 503, Server),
     ]);
 }
+
+// Guards against the same when the body is too long to be stored, and goes to the client as it arrives.
+#[test]
+fn a_long_response_that_turns_a_request_away_speaks_for_its_own_attempt_alone() {
+    use Origin::{Proxy, Server};
+    use Step::{Close, TurnAwayAtLength};
+    assert_rows(&[
+        Row(IDEMPOTENT, &[Close, TurnAwayAtLength, TurnAwayAtLength], 503, Proxy),
+        Row(SHORT_WINDOW, &[Close, TurnAwayAtLength, TurnAwayAtLength], 502, Proxy),
+        Row(SAFE, &[Close, TurnAwayAtLength, TurnAwayAtLength], 503, Proxy),
+        Row(UNSAFE, &[TurnAwayAtLength], 503, Server),
+    ]);
+}
+
+// Guards against a turned-away hedge whose long body is streamed to the client while the first attempt
+// may still be served.
+#[test]
+fn a_long_response_of_a_hedge_that_is_turned_away_does_not_end_the_request() {
+    let class = "effect = \"safe\"\naim = \"800ms\"\ndeadline = \"5s\"\n\
+                 per-try-timeout = \"none\"\nhedge = { after = \"50ms\", share = 0.5 }";
+    let servers = ScriptedServers::start(&[Step::ServeLate, Step::TurnAwayAtLength]);
+    let cluster = format!("{CLUSTER}\nsecond-copies = true");
+    let (daemon, _) = daemon(&servers.addresses(), class, &cluster);
+    let response = send(&daemon, SAFE);
+    assert_eq!(response.status(), 200, "{}", response.head);
+    assert_eq!(servers.attempts(), 2, "the hedge was sent");
+}
--- a/crates/proxy/src/cluster/attempt.rs
+++ b/crates/proxy/src/cluster/attempt.rs
@@ -78,6 +78,10 @@
         };
         let UpstreamResponse { status, headers, body } = response;
         match body {
+            // The client would take what this server states of its attempt as true of the request.
+            UpstreamBody::Stream(_) if outcome.never_ran() && self.others_may_have_run() => {
+                self.end(outcome, load_report);
+            }
             UpstreamBody::Stream(mut stream) => {
                 stream.on_end(self.stream_response());
                 let body = UpstreamBody::Stream(stream);
@@ -115,6 +119,10 @@
         self.end(outcome, load_report);
     }
 
+    fn others_may_have_run(&self) -> bool {
+        self.supervisor.others_may_have_run(&self.id, self.number)
+    }
+
     /// Reports that this attempt's response goes to the client, so that no other attempt's may.
     fn report_stream_started(&self) {
         let event = Event::StreamStarted { id: self.id.clone(), attempt: self.number };
--- a/crates/proxy/src/cluster/attempt_supervisor.rs
+++ b/crates/proxy/src/cluster/attempt_supervisor.rs
@@ -2,7 +2,7 @@
 
 use super::attempt_record::AttemptEnd;
 use crate::upstream::response::UpstreamResponse;
-use mintshelf_balancer::api::{Event, Outcome, RequestId};
+use mintshelf_balancer::api::{AttemptNumber, Event, Outcome, RequestId};
 use std::rc::Rc;
 
 /// The owner of the requests whose attempts run: the runtime of their cluster.
@@ -20,6 +20,9 @@
     /// attempt succeeds, unless what it states of the request's effect may be wrong.
     fn store_fallback(&self, id: &RequestId, outcome: Outcome, response: UpstreamResponse);
 
+    /// Returns whether another attempt of the request than this one may have run.
+    fn others_may_have_run(&self, id: &RequestId, number: AttemptNumber) -> bool;
+
     /// Returns whether the retry budget allows a retry now.
     fn can_retry(&self) -> bool;
 }
--- a/crates/proxy/src/cluster/pending_requests.rs
+++ b/crates/proxy/src/cluster/pending_requests.rs
@@ -56,6 +56,12 @@
         self.attempts.iter().find(|attempt| attempt.may_have_run()).map(|attempt| attempt.sent_at)
     }
 
+    /// Returns whether an attempt other than this one may have run.
+    pub(crate) fn others_may_have_run(&self, number: AttemptNumber) -> bool {
+        let mut attempts = self.attempts.iter().enumerate();
+        attempts.any(|(index, attempt)| index != number.index() && attempt.may_have_run())
+    }
+
     /// Adds an attempt at `server` that starts at `now`.
     pub(crate) fn add_attempt(&mut self, server: ServerId, now: Nanos) -> NewAttempt {
         let number = AttemptNumber::from_index(self.attempts.len());
--- a/crates/proxy/src/cluster/runtime.rs
+++ b/crates/proxy/src/cluster/runtime.rs
@@ -19,7 +19,8 @@
 use crate::upstream::pool::{ConnectionPool, Upstream};
 use crate::upstream::response::UpstreamResponse;
 use mintshelf_balancer::api::{
-    Action, EndpointState, Event, ListKind, ListedServer, Outcome, RequestId, ServerId,
+    Action, AttemptNumber, EndpointState, Event, ListKind, ListedServer, Outcome, RequestId,
+    ServerId,
 };
 use mintshelf_balancer::decide::Balancer;
 use mintshelf_config::balancer::ClusterServer;
@@ -253,6 +254,11 @@
         }
     }
 
+    fn others_may_have_run(&self, id: &RequestId, number: AttemptNumber) -> bool {
+        let state = self.state.borrow();
+        state.requests.get(id).is_some_and(|request| request.others_may_have_run(number))
+    }
+
     fn can_retry(&self) -> bool {
         self.state.borrow().balancer.can_retry()
     }
