A rejection says "it has not run" only where that is known

What callers saw: a request of which an attempt may have run, and which may be repeated (safe, or idempotent within its window), was rejected as `overloaded` with the detail "it has not run".

Cause: `served_response` had one text for each rejection, though `Rejected` carries since when an attempt may have run. `docs/config.md` says "it has not run, or may be repeated".

Status, code and headers are as before.

--- a/crates/mintshelf/tests/attempts/final_responses.rs
+++ b/crates/mintshelf/tests/attempts/final_responses.rs
@@ -133,14 +133,16 @@
     let attempts = servers.attempts();
     let is_problem = response.header("content-type") == Some("application/problem+json");
     let never_ran = |step: &Step| matches!(step, Step::TurnAway | Step::TurnAwayAtLength);
-    let promises_no_effect = response.header(NEVER_RAN).is_some();
+    let body = String::from_utf8_lossy(&response.body);
+    let promises_no_effect =
+        response.header(NEVER_RAN).is_some() || body.contains("it has not run");
     let is_expected = response.status() == *status
         && attempts == script.len()
         && is_problem == (*origin == Origin::Proxy)
         && (!promises_no_effect || script.iter().all(never_ran));
     (!is_expected).then(|| {
         let expected = format!("{class:?} {script:?}: expected {status} of {origin:?}");
-        format!("{expected}, got after {attempts} attempts\n{}", response.head)
+        format!("{expected}, got after {attempts} attempts\n{}{body}", response.head)
     })
 }
 
--- a/crates/proxy/src/gateway/respond.rs
+++ b/crates/proxy/src/gateway/respond.rs
@@ -27,8 +27,11 @@
 ) -> Result<UpstreamResponse, Rejection> {
     match outcome {
         Some(RequestOutcome::Served(response)) => Ok(*response),
-        Some(RequestOutcome::Rejected { retry_after, .. }) => {
-            let detail = "no server can take it now; it has not run";
+        Some(RequestOutcome::Rejected { retry_after, ran_at }) => {
+            let detail = match ran_at {
+                None => "no server can take it now; it has not run",
+                Some(_) => "no server can take it now; it may have run, and may be repeated",
+            };
             let rejection = Rejection::new(StatusCode::SERVICE_UNAVAILABLE, "overloaded", detail);
             Err(rejection.retry_after(retry_after))
         }
