--- a/crates/proxy/src/cluster/trace.rs
+++ b/crates/proxy/src/cluster/trace.rs
@@ -43,7 +43,7 @@
     );
 }
 
-/// How the balancer ended a request without a server's response.
+/// The balancer's decision on a request that has no response of a server.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum Verdict {
     /// The client may safely send the request again.
