--- a/crates/fleet-simulator/src/discovery.rs
+++ b/crates/fleet-simulator/src/discovery.rs
@@ -9,9 +9,9 @@
 pub(crate) struct DiscoveryService {
     config: DiscoveryConfig,
     endpoints: BTreeMap<ServerId, ListedServer>,
-    /// Which sidecars watch.
+    /// Whether each sidecar watches, by its number.
     watches: Vec<bool>,
-    /// When it can answer the next call.
+    /// Time at which the service can begin the next call, in nanoseconds.
     free_at: Nanos,
 }
 
@@ -28,7 +28,7 @@
 }
 
 impl DiscoveryService {
-    /// A service with the initial servers, without watches.
+    /// Creates a service with the initial servers, without watches.
     pub(crate) fn new(
         config: DiscoveryConfig,
         sidecars: usize,
@@ -38,7 +38,8 @@
         DiscoveryService { config, endpoints, watches: vec![false; sidecars], free_at: 0 }
     }
 
-    /// How long after a change the service learns of it; `uniform` is a number in [0, 1).
+    /// Returns the delay between a change and its entry in the endpoint list. `uniform` is a random
+    /// number in [0, 1).
     pub(crate) fn notice_delay(&self, uniform: f64) -> Nanos {
         let DiscoveryConfig { min_notice, max_notice, .. } = self.config;
         min_notice + from_float(uniform * as_float(max_notice.saturating_sub(min_notice)))
@@ -76,7 +77,7 @@
         watching.map(notification).collect()
     }
 
-    /// The complete list.
+    /// Returns the complete endpoint list.
     pub(crate) fn endpoint_list(&self) -> Vec<ListedServer> {
         self.endpoints.values().cloned().collect()
     }
--- a/crates/fleet-simulator/src/fleet.rs
+++ b/crates/fleet-simulator/src/fleet.rs
@@ -11,9 +11,9 @@
     /// Traffic of the busiest sidecar relative to the least busy, as a power of ten: 0 for the
     /// same everywhere, 2 for a hundred times.
     pub load_skew: f64,
-    /// Restarts of sidecars.
+    /// Restarts of sidecars during the run.
     pub restarts: Vec<Restart>,
-    /// Releases of servers.
+    /// Releases of servers during the run.
     pub releases: Vec<Release>,
     /// The discovery service; absent, every sidecar keeps the first endpoint list.
     pub discovery: Option<DiscoveryConfig>,
@@ -23,7 +23,7 @@
     pub burst: Option<Burst>,
     /// Number of zones, to which sidecars and servers belong in turn; 0 is the same as 1.
     pub zones: u32,
-    /// How servers slow down under many requests; absent, they don't.
+    /// Slowdown of servers under many requests; `None` if servers never slow down.
     pub thrashing: Option<Thrashing>,
     /// Spread of the work of a class: sigma of a lognormal distribution; absent for an Erlang
     /// distribution of two stages.
@@ -44,7 +44,7 @@
 /// Some sidecars are killed at once and restart without state.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Restart {
-    /// When, from the start of the run.
+    /// Time of the kill, in nanoseconds from the start of the run.
     pub at: Nanos,
     /// Time from the kill to the restart.
     pub downtime: Nanos,
@@ -56,58 +56,58 @@
 /// ones warm up.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Release {
-    /// When its first step begins, from the start of the run.
+    /// Start of the first step, in nanoseconds from the start of the run.
     pub from: Nanos,
-    /// When its last step begins.
+    /// Start of the last step, in nanoseconds from the start of the run.
     pub until: Nanos,
-    /// Number of steps.
+    /// Number of steps in which the servers are replaced.
     pub steps: usize,
     /// The servers, by number.
     pub servers: Range<usize>,
-    /// How long a server drains before its process ends.
+    /// Time from the drain of a server to the end of its process, in nanoseconds.
     pub drain: Nanos,
-    /// How long after the drain began its successor starts.
+    /// Time from the drain of a server to the start of its successor, in nanoseconds.
     pub start_delay: Nanos,
 }
 
-/// The discovery service.
+/// Settings of the discovery service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct DiscoveryConfig {
-    /// Shortest time after which the service learns of a change.
+    /// Minimum delay between a change and its entry in the endpoint list, in nanoseconds.
     pub min_notice: Nanos,
-    /// Longest time after which it does.
+    /// Maximum delay between a change and its entry in the endpoint list, in nanoseconds.
     pub max_notice: Nanos,
-    /// Time over which it notifies the sidecars that watch.
+    /// Time over which the notifications of all watching sidecars are spread, in nanoseconds.
     pub spread: Nanos,
-    /// Calls that it answers a second.
+    /// Number of calls that the service answers per second.
     pub calls_per_second: f64,
     /// A call that would wait longer than this fails.
     pub timeout: Nanos,
 }
 
-/// Some clients give up early.
+/// Clients that wait less than the deadline of their class.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EarlyTimeouts {
-    /// When, from the start of the run.
+    /// Interval in which clients give up early, in nanoseconds from the start of the run.
     pub during: Range<Nanos>,
-    /// Share of the clients that do.
+    /// Fraction of the clients that give up early.
     pub share: f64,
     /// Shortest timeout, as a fraction of the latency objective of the class.
     pub min_timeout: f64,
-    /// Longest timeout, likewise.
+    /// Longest timeout, as a fraction of the latency objective of the class.
     pub max_timeout: f64,
 }
 
 /// More traffic for a while.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Burst {
-    /// When, from the start of the run.
+    /// Interval of the burst, in nanoseconds from the start of the run.
     pub during: Range<Nanos>,
     /// Multiple of the ordinary traffic.
     pub factor: f64,
 }
 
-/// How a server slows down under many requests.
+/// Slowdown of a server under many requests.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Thrashing {
     /// Requests at the server, in multiples of its concurrency, from which it slows down.
--- a/crates/fleet-simulator/src/report.rs
+++ b/crates/fleet-simulator/src/report.rs
@@ -41,15 +41,15 @@
     pub rejected: u64,
     /// Requests rejected by the recovery ramp.
     pub rejected_by_ramp: u64,
-    /// Requests failed.
+    /// Requests that ended as failed.
     pub failed: u64,
     /// Clients that were advised to retry at a time within this slice.
     pub advised_retries: u64,
-    /// First requests.
+    /// First requests of clients, without retries.
     pub first_requests: u64,
     /// Attempts sent to a server of another zone.
     pub cross_zone: u64,
-    /// Calls to discovery.
+    /// Calls of sidecars to the discovery service.
     pub discovery_calls: u64,
     /// Work done after the client had left, relative to a mean first request.
     pub wasted_work: f64,
@@ -83,13 +83,13 @@
 /// The cost of side effects, each as a share of the requested weight.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct SideEffectCosts {
-    /// New connections.
+    /// Cost of new connections to servers.
     pub connects: f64,
-    /// Attempts that crossed zones.
+    /// Cost of attempts that were sent to another zone.
     pub cross_zone: f64,
-    /// Calls to discovery.
+    /// Cost of calls to the discovery service.
     pub discovery_calls: f64,
-    /// Wasted work.
+    /// Cost of work that was done after its client had left.
     pub wasted_work: f64,
 }
 
--- a/crates/fleet-simulator/src/scenario.rs
+++ b/crates/fleet-simulator/src/scenario.rs
@@ -11,15 +11,15 @@
 /// A class of requests of the simulated site.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct TrafficClass {
-    /// How often its effect may happen.
+    /// Whether requests of the class may run more than once.
     pub(crate) effect: Effect,
-    /// Its share of the requests.
+    /// Fraction of all requests that belong to the class.
     pub(crate) share: f64,
-    /// Its mean work, relative to the other classes.
+    /// Mean work of a request of the class, relative to the other classes.
     pub(crate) work: f64,
-    /// A response within this time is in time.
+    /// Maximum latency at which a response counts as in time, in nanoseconds.
     pub(crate) latency_objective: Nanos,
-    /// How long a client waits for one request.
+    /// Maximum time that a client waits for the response to one request, in nanoseconds.
     pub(crate) deadline: Nanos,
     /// Weight of a response in time.
     pub(crate) priority_weight: f64,
@@ -27,7 +27,7 @@
 
 /// The four classes of the simulated site.
 pub(crate) const CLASSES: [TrafficClass; 4] = [
-    // Device status.
+    // Class 0: the status of a device is read.
     TrafficClass {
         effect: Effect::Safe,
         share: 0.5,
@@ -36,7 +36,7 @@
         deadline: 800 * MILLISECOND,
         priority_weight: 1.0,
     },
-    // Run logs.
+    // Class 1: the logs of a test run are read.
     TrafficClass {
         effect: Effect::Safe,
         share: 0.25,
@@ -45,7 +45,7 @@
         deadline: 1_600 * MILLISECOND,
         priority_weight: 1.0,
     },
-    // Queue run.
+    // Class 2: a test run is queued.
     TrafficClass {
         effect: Effect::Idempotent,
         share: 0.15,
@@ -54,7 +54,7 @@
         deadline: 1_600 * MILLISECOND,
         priority_weight: 2.0,
     },
-    // Flash device.
+    // Class 3: firmware is flashed to a device.
     TrafficClass {
         effect: Effect::Unsafe,
         share: 0.1,
@@ -70,11 +70,11 @@
     CLASSES.iter().map(|class| class.share * class.work).sum()
 }
 
-/// How clients retry when they are rejected or have no response. Each retries at most twice, and
-/// never if an unsafe request may have run.
+/// Retry behavior of clients that are rejected or have no response. A client retries at most twice,
+/// and never if an unsafe request may have run.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum RetryBehavior {
-    /// Clients don't retry.
+    /// Clients never retry.
     Never,
     /// Clients retry at once.
     Immediate,
@@ -87,13 +87,13 @@
 /// A fault of some servers for some time.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Fault {
-    /// When it begins, from the start of the run.
+    /// Start of the fault, in nanoseconds from the start of the run.
     pub from: Nanos,
-    /// When it ends.
+    /// End of the fault, in nanoseconds from the start of the run.
     pub until: Nanos,
-    /// The servers, by number.
+    /// Numbers of the servers that have the fault.
     pub servers: Range<usize>,
-    /// What it is.
+    /// Effect of the fault on the servers.
     pub kind: FaultKind,
 }
 
@@ -124,19 +124,19 @@
     pub requests_per_second: f64,
     /// Capacity of all servers when warm, as a multiple of the work of those requests.
     pub capacity: f64,
-    /// How long it lasts.
+    /// Duration of the run, in nanoseconds.
     pub duration: Nanos,
-    /// Faults of servers.
+    /// Faults of servers during the run.
     pub faults: Vec<Fault>,
-    /// How clients retry.
+    /// Retry behavior of all clients.
     pub retry: RetryBehavior,
     /// The recovery ramp; absent for the balancer without the recovery package.
     pub ramp: Option<Nanos>,
     /// The longest retry-after advice.
     pub max_retry_after: Nanos,
-    /// How long a started server warms up.
+    /// Time that a started server takes to reach its full capacity, in nanoseconds.
     pub warm_up: Nanos,
-    /// The fraction of its capacity at which it starts.
+    /// Fraction of its full capacity that a server has at its start.
     pub initial_capacity: f64,
     /// Changes of the fleet, and the site's special conditions.
     pub fleet: FleetConfig,
@@ -172,7 +172,7 @@
         self.with_fault(Fault { from, until, servers, kind })
     }
 
-    /// Adds a fault.
+    /// Adds a fault of some servers.
     #[must_use]
     pub fn with_fault(mut self, fault: Fault) -> Self {
         self.faults.push(fault);
--- a/crates/fleet-simulator/src/server.rs
+++ b/crates/fleet-simulator/src/server.rs
@@ -14,7 +14,7 @@
 const QUEUE_MULTIPLE: usize = 4;
 /// Multiple of its present capacity that overloads a warming server.
 const OVERLOAD_MULTIPLE: f64 = 3.0;
-/// How long that multiple must last.
+/// Time for which that multiple must be exceeded, in nanoseconds.
 const OVERLOAD_DURATION: Nanos = SECOND;
 /// Mean age of the work in the load of a server.
 const LOAD_MEAN_AGE: Nanos = SECOND / 2;
@@ -56,9 +56,9 @@
     Queued,
     /// The queue is full, or the server drains.
     Rejected,
-    /// No process listens.
+    /// The server has no running process.
     ConnectionRefused,
-    /// There is never a response.
+    /// The server never responds to the job.
     NoResponse,
 }
 
@@ -79,12 +79,12 @@
     started_at: Option<Nanos>,
     warm_up: Nanos,
     initial_capacity: f64,
-    /// Work sent to it recently.
+    /// Work sent to the server recently.
     load: DecayingCounter,
-    /// Since when its load exceeds its capacity too far.
+    /// Time since which the load has exceeded [`OVERLOAD_MULTIPLE`]; `None` if it is lower.
     overloaded_since: Option<Nanos>,
     thrashing: Option<Thrashing>,
-    /// Whether it rejects all new jobs.
+    /// Whether the server rejects all new jobs.
     pub(crate) is_draining: bool,
     pub(crate) zone: u32,
 }
@@ -171,7 +171,7 @@
         self.overloaded_since = None;
     }
 
-    /// Accepts an attempt.
+    /// Accepts, queues or rejects an attempt, as faults and load require.
     pub(crate) fn accept(&mut self, now: Nanos, job: Job) -> Arrival {
         if self.is_crashed() {
             return Arrival::ConnectionRefused;
--- a/crates/fleet-simulator/src/sidecar/action.rs
+++ b/crates/fleet-simulator/src/sidecar/action.rs
@@ -6,7 +6,7 @@
 /// The response to a client.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum Reply {
-    /// A server's response.
+    /// The response of a server, which served the request.
     Served,
     /// Rejected: the request may be retried, after this time if there is advice.
     Rejected(Option<Nanos>),
--- a/crates/fleet-simulator/src/sidecar/mod.rs
+++ b/crates/fleet-simulator/src/sidecar/mod.rs
@@ -30,7 +30,7 @@
     actions: Vec<SidecarAction>,
     last_request: u64,
     idle_connections: IdleConnections,
-    /// When it learned that a server drains or was removed.
+    /// Times at which the sidecar was notified that a server drains or was removed.
     drain_notified_at: HashMap<ServerId, Nanos>,
     /// Attempts sent while another was in flight, or past the limit.
     pub(crate) excess_attempts: u64,
@@ -84,7 +84,8 @@
         self.post(now, Event::EndpointListUpdate { kind, revision: 1, entries: entries.into() });
     }
 
-    /// When it learned that a server drains or was removed, if it has.
+    /// Returns the time at which the sidecar was notified that a server drains or was removed; `None`
+    /// if it was not.
     pub(crate) fn drain_notified_at(&self, server: ServerId) -> Option<Nanos> {
         self.drain_notified_at.get(&server).copied()
     }
--- a/crates/fleet-simulator/src/simulation/client.rs
+++ b/crates/fleet-simulator/src/simulation/client.rs
@@ -8,24 +8,25 @@
 pub(super) struct Client {
     pub(super) class: usize,
     pub(super) sidecar: usize,
-    /// When it sent its first request.
+    /// Time at which the client sent its first request.
     pub(super) first_sent_at: Nanos,
-    /// When it sent its last request.
+    /// Time at which the client sent its last request.
     pub(super) sent_at: Nanos,
-    /// Requests sent, the first and retries.
+    /// Number of requests sent, the first and retries.
     pub(super) requests: u32,
-    /// Whether it awaits a response.
+    /// Whether the client waits for a response.
     pub(super) is_waiting: bool,
     /// Id of the request at the sidecar, if that accepted it.
     pub(super) request_id: Option<RequestId>,
-    /// How often its effect happened.
+    /// Number of times that a server ran the operation.
     pub(super) runs: u32,
-    /// Its timeout as a fraction of the latency objective, if it gives up early.
+    /// Timeout as a fraction of the latency objective; `None` if the client waits for the deadline of
+    /// its class.
     pub(super) early_timeout: Option<f64>,
 }
 
 impl Client {
-    /// How long it waits for one request.
+    /// Returns the time that the client waits for one response, in nanoseconds.
     pub(super) fn timeout(&self) -> Nanos {
         let class = &CLASSES[self.class];
         match self.early_timeout {
--- a/crates/fleet-simulator/src/simulation/clients.rs
+++ b/crates/fleet-simulator/src/simulation/clients.rs
@@ -10,7 +10,7 @@
 
 /// Retries of a client after its first request.
 pub(super) const MAX_RETRIES: u32 = 2;
-/// How much longer a client waits than its sidecar.
+/// Time that a client waits longer than its sidecar.
 const TIMEOUT_SLACK: Nanos = 100 * MILLISECOND;
 /// Delay of a retry by a client that honors advice and was given none.
 pub(super) const DEFAULT_RETRY_DELAY: Nanos = 100 * MILLISECOND;
--- a/crates/fleet-simulator/src/simulation/deduplication.rs
+++ b/crates/fleet-simulator/src/simulation/deduplication.rs
@@ -4,7 +4,7 @@
 use mintshelf_time::Nanos;
 use std::collections::HashMap;
 
-/// When each client's idempotent request first ran.
+/// Times at which the idempotent requests first ran, by client.
 #[derive(Default)]
 pub(super) struct Deduplication {
     first_run_at: HashMap<usize, Nanos>,
--- a/crates/fleet-simulator/src/simulation/event.rs
+++ b/crates/fleet-simulator/src/simulation/event.rs
@@ -30,13 +30,13 @@
     ServerRestarts { server: usize },
     /// A sidecar is killed, and restarts later.
     SidecarKilled { sidecar: usize, restart_at: Nanos },
-    /// A sidecar restarts.
+    /// The process of a killed sidecar restarts.
     SidecarRestarts(usize),
     /// A call to discovery ends.
     DiscoveryCallEnds { sidecar: usize, incarnation: u64, is_answered: bool },
     /// A sidecar is notified of a change.
     SidecarNotified { sidecar: usize, incarnation: u64, entry: ListedServer },
-    /// Discovery learns of a change.
+    /// A change enters the endpoint list of discovery.
     DiscoveryLearns(ListedServer),
     /// A server drains for a release.
     ServerDrains(usize),
--- a/crates/fleet-simulator/src/simulation/fleet.rs
+++ b/crates/fleet-simulator/src/simulation/fleet.rs
@@ -80,7 +80,7 @@
         self.announce(self.servers.len() - 1, EndpointState::Live, self.now);
     }
 
-    /// Schedules that discovery learns of a change of a server.
+    /// Schedules the entry of a server's change in the endpoint list of discovery.
     pub(super) fn announce(&mut self, server: usize, state: EndpointState, started_at: Nanos) {
         let uniform = self.draw();
         let Some(discovery) = &self.discovery else { return };
--- a/crates/fleet-simulator/src/simulation/mod.rs
+++ b/crates/fleet-simulator/src/simulation/mod.rs
@@ -25,15 +25,15 @@
 use rand_pcg::Pcg64Mcg;
 use traffic::Traffic;
 
-/// When the run begins; the sidecars know their servers from here on.
+/// Time at which the run begins: all sidecars start with the initial list, in nanoseconds.
 const BEGIN: Nanos = SECOND;
 
-/// A sidecar's process.
+/// The process of a sidecar over its restarts.
 #[derive(Clone, Copy, Default)]
 struct Process {
-    /// How often it has been killed.
+    /// Number of times that the process was killed.
     incarnation: u64,
-    /// Until when it is down.
+    /// Time at which the killed process restarts; 0 if it was never killed.
     down_until: Nanos,
 }
 
--- a/crates/fleet-simulator/src/simulation/sidecars.rs
+++ b/crates/fleet-simulator/src/simulation/sidecars.rs
@@ -1,4 +1,4 @@
-//! What sidecars do: sends, replies, timers and calls to discovery.
+//! The actions of sidecars: sends, replies, timers and calls to discovery.
 
 use super::{Event, Simulation, BEGIN};
 use crate::numbers::steps;
--- a/crates/fleet-simulator/src/standard.rs
+++ b/crates/fleet-simulator/src/standard.rs
@@ -11,7 +11,7 @@
 use rand_pcg::Pcg64Mcg;
 use std::ops::Range;
 
-/// A standard scenario.
+/// One of the standard scenarios, which a seed varies.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StandardScenario {
     /// No fault; a burst of half as much traffic again.
@@ -30,7 +30,7 @@
 }
 
 impl StandardScenario {
-    /// All of them.
+    /// All standard scenarios, in the order of the tables.
     pub const ALL: [StandardScenario; 6] = [
         StandardScenario::Calm,
         StandardScenario::RollingUpdate,
@@ -40,7 +40,7 @@
         StandardScenario::FastRelease,
     ];
 
-    /// Its name in tables.
+    /// Returns the name of the scenario in tables.
     #[must_use]
     pub fn name(self) -> &'static str {
         match self {
@@ -54,13 +54,13 @@
     }
 }
 
-/// When the events of a scenario begin.
+/// Time at which the events of a scenario begin, in nanoseconds.
 const BEGIN: Nanos = 8 * SECOND;
-/// How long a scenario lasts, in seconds.
+/// Duration of a scenario in seconds.
 const DURATION_SECONDS: u64 = 30;
 /// Mean number of requests a second of a sidecar.
 const REQUESTS_PER_SECOND: f64 = 11.0;
-/// Mixed into the seed, so that the draws are not those of the run.
+/// Value that is mixed into the seed, so that the draws differ from those of the run.
 const SEED_MASK: u64 = 0x666c_6565_745f_6461;
 
 /// A standard scenario of a fleet with this many sidecars and half as many servers.
@@ -88,8 +88,8 @@
 }
 
 impl Builder {
-    /// A fleet in its ordinary conditions. All builders draw in the same order, so that a seed
-    /// stands for the same site in each scenario.
+    /// Creates a builder of a fleet without events. All builders draw in the same order, so that a
+    /// seed gives the same site in each scenario.
     fn new(seed: u64, sidecars: usize) -> Self {
         let requests_per_second = REQUESTS_PER_SECOND * sidecars as f64;
         let ordinary = Scenario::without_faults(seed, requests_per_second, DURATION_SECONDS);
--- a/crates/test-support/src/daemon.rs
+++ b/crates/test-support/src/daemon.rs
@@ -22,9 +22,9 @@
 pub struct Daemon {
     /// The address of its first listener.
     pub address: SocketAddr,
-    /// The process.
+    /// The running process of the daemon.
     pub child: Child,
-    /// The operator's file.
+    /// Path of the operator's file.
     pub file: PathBuf,
     log: Arc<Mutex<String>>,
 }
--- a/crates/test-support/src/discovery.rs
+++ b/crates/test-support/src/discovery.rs
@@ -36,7 +36,7 @@
 
 /// A discovery service: it serves one list, and its watches wait until the list changes.
 pub struct Discovery {
-    /// Its address.
+    /// The address of the discovery service.
     pub address: SocketAddr,
     list: Arc<SharedList>,
     calls: Arc<Mutex<usize>>,
--- a/crates/test-support/src/endpoint_list.rs
+++ b/crates/test-support/src/endpoint_list.rs
@@ -24,7 +24,7 @@
         EndpointList { revision, entries, changes: Vec::new() }
     }
 
-    /// Its revision.
+    /// Returns the revision of the list.
     pub(crate) fn revision(&self) -> u64 {
         self.revision
     }
--- a/crates/test-support/src/process.rs
+++ b/crates/test-support/src/process.rs
@@ -1,11 +1,11 @@
-//! What tests read about a process in `/proc`, and signals to it.
+//! Readings of a process from `/proc`, and signals to it.
 
 use std::process::{Child, Command};
 use std::time::Duration;
 
-/// A running process.
+/// A running process that tests observe and signal.
 pub trait Process {
-    /// Its id.
+    /// Returns the id of the process.
     fn pid(&self) -> u32;
 
     /// Sends a signal by its name, as in `TERM`.
--- a/crates/test-support/src/relay/transfer.rs
+++ b/crates/test-support/src/relay/transfer.rs
@@ -13,7 +13,7 @@
 /// Bytes read at once.
 const READ_SIZE: usize = 16 << 10;
 
-/// How a transfer ended.
+/// The end of a transfer.
 #[derive(Debug, PartialEq, Eq)]
 pub(super) enum Outcome {
     /// The source ended, all bytes were carried and the end was forwarded.
@@ -122,7 +122,7 @@
     matches!(kind, ErrorKind::WouldBlock | ErrorKind::TimedOut)
 }
 
-/// How much of a chunk passes before the connection breaks.
+/// The part of a chunk that passes before the connection breaks.
 struct Passed {
     bytes: usize,
     breaks: bool,
--- a/crates/test-support/src/server.rs
+++ b/crates/test-support/src/server.rs
@@ -33,7 +33,7 @@
 
 /// A listener whose connections a test handles byte by byte.
 pub struct Peer {
-    /// Its address.
+    /// The address of the listener.
     pub address: SocketAddr,
     _accepting: AcceptGuard,
 }
@@ -48,7 +48,7 @@
 
 /// An HTTP server that records requests and responds as a test says.
 pub struct Server {
-    /// Its address.
+    /// The address of the server.
     pub address: SocketAddr,
     requests: Arc<Mutex<Vec<Message>>>,
     connections: Arc<Mutex<usize>>,
--- a/crates/test-support/src/sidecar.rs
+++ b/crates/test-support/src/sidecar.rs
@@ -17,9 +17,9 @@
 pub struct Sidecar {
     /// The address where it listens.
     pub address: SocketAddr,
-    /// The process.
+    /// The running process of the sidecar.
     pub child: Child,
-    /// Its configuration file.
+    /// Path of the sidecar's configuration file.
     pub file: PathBuf,
     /// The configuration it was started with.
     pub config: Value,
--- a/crates/test-support/src/soak/discovery.rs
+++ b/crates/test-support/src/soak/discovery.rs
@@ -30,7 +30,7 @@
     Deleted,
 }
 
-/// A listed server.
+/// A server as discovery lists it.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Listed {
     pub(super) state: ListedState,
@@ -45,7 +45,7 @@
     changes: RefCell<Vec<Vec<usize>>>,
     revision: watch::Sender<u64>,
     is_down: watch::Sender<bool>,
-    /// How often open calls have fallen silent.
+    /// Number of times that open calls have fallen silent.
     silences: watch::Sender<u64>,
     delivery: Cell<ListDelivery>,
     random: RefCell<SeededRandom>,
@@ -214,7 +214,7 @@
         }
     }
 
-    /// What changed after a revision, or the complete list with the newest servers first.
+    /// Returns the changes after a revision, or the complete list with the newest servers first.
     fn list(&self, after: Option<u64>) -> Value {
         let revision = *self.revision.borrow();
         let Some(after) = after.filter(|after| *after > 0 && *after <= revision) else {
--- a/crates/test-support/src/soak/environment.rs
+++ b/crates/test-support/src/soak/environment.rs
@@ -27,7 +27,7 @@
 const KILL_EXTRA: Duration = Duration::from_millis(700);
 /// Clients go on connecting for this long after SIGTERM.
 const LATE_CONNECTS: Duration = Duration::from_millis(300);
-/// How long a run goes on after its last restart.
+/// Time that a run continues after its last restart.
 const AFTER_RESTART: Duration = Duration::from_secs(2);
 /// Environment variable with a folder for the processes' logs; `MINTSHELF_LOG` sets their levels.
 const LOGS_VARIABLE: &str = "MINTSHELF_SOAK_LOGS";
--- a/crates/test-support/src/soak/oracle.rs
+++ b/crates/test-support/src/soak/oracle.rs
@@ -28,7 +28,7 @@
 pub enum Rule {
     /// Each request gets one complete final response in its time.
     Lost,
-    /// Nothing runs twice.
+    /// No request runs more often than its class permits.
     Duplicate,
     /// Nothing new goes to draining and removed servers.
     Drain,
@@ -39,7 +39,7 @@
 /// A violation of a rule.
 #[derive(Debug, Clone)]
 pub struct Violation {
-    /// The rule.
+    /// The rule that was violated.
     pub rule: Rule,
     /// Which request or process, and what was observed.
     pub text: String,
--- a/crates/test-support/src/soak/receive_time.rs
+++ b/crates/test-support/src/soak/receive_time.rs
@@ -1,4 +1,4 @@
-//! When bytes came to a socket, by the system's time stamps: a busy server reads them later.
+//! Arrival times of bytes at a socket, by the system's time stamps: a busy server reads them later.
 
 use nix::sys::socket::sockopt::ReceiveTimestampns;
 use nix::sys::socket::{recvmsg, setsockopt, ControlMessageOwned, MsgFlags};
@@ -12,12 +12,12 @@
 /// Most bytes of one read.
 const READ_MAX: usize = 16 << 10;
 
-/// What a read has brought.
+/// The result of one read of a socket.
 #[derive(Debug, Clone, Copy)]
 pub struct ReceivedBytes {
     /// Number of bytes; 0 at the end of the connection.
     pub count: usize,
-    /// When the last of them came to the system.
+    /// Arrival time of the last byte at the system.
     pub at: Instant,
 }
 
@@ -55,7 +55,7 @@
     Ok(ReceivedBytes { count, at: Instant::now() - age })
 }
 
-/// How long ago the wall clock showed a time.
+/// Returns the time that has passed since the wall clock showed a time.
 fn age_of(stamp: Duration) -> Duration {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     now.saturating_sub(stamp)
--- a/crates/test-support/src/soak/records.rs
+++ b/crates/test-support/src/soak/records.rs
@@ -5,12 +5,12 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// How an attempt ended at its server.
+/// The outcome of an attempt at its server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptOutcome {
     /// The attempt has not ended.
     Open,
-    /// Served with 200.
+    /// The server responded with 200.
     Served,
     /// Rejected: it did not run.
     Rejected,
@@ -21,23 +21,23 @@
 /// An attempt as its server observed it.
 #[derive(Debug, Clone)]
 pub struct AttemptRecord {
-    /// The server's number.
+    /// Number of the server.
     pub server: usize,
-    /// The request's id.
+    /// Transaction id of the request.
     pub transaction: String,
-    /// When its first byte arrived at the server's system.
+    /// Arrival time of the first byte at the server's system.
     pub began_at: Instant,
-    /// When the server had read it completely.
+    /// Time at which the server had read the complete request.
     pub read_at: Instant,
     /// The remaining time that it stated.
     pub remaining: Option<Duration>,
-    /// Its outcome.
+    /// Outcome of the attempt at the server.
     pub outcome: AttemptOutcome,
-    /// When it ended.
+    /// Time at which the attempt ended; `None` while it is in flight.
     pub ended_at: Option<Instant>,
 }
 
-/// How a request ended for its client.
+/// The end of a request, as its client saw it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RequestEnd {
     /// A complete response: its status, and its body as text.
@@ -51,35 +51,36 @@
     Broken,
     /// No response in its time.
     Silence,
-    /// Its client disconnected before.
+    /// The client disconnected before a response.
     Disconnected,
 }
 
 /// A request as its client observed it.
 #[derive(Debug, Clone)]
 pub struct RequestRecord {
-    /// Its id.
+    /// Transaction id of the request.
     pub transaction: String,
-    /// Its class.
+    /// Class of the request.
     pub class: Class,
-    /// When its last byte was written.
+    /// Time at which the client wrote the last byte.
     pub sent_at: Instant,
-    /// How long its client waits.
+    /// Time that the client waits for a response.
     pub timeout: Duration,
-    /// How it ended.
+    /// The end that the client saw.
     pub end: RequestEnd,
-    /// When it ended, or its client disconnected.
+    /// Time of that end, or of the disconnect of the client.
     pub ended_at: Instant,
 }
 
 /// A server, and when it was taken out of service.
 #[derive(Debug, Clone)]
 pub struct ServerRecord {
-    /// Where it listens.
+    /// Address on which the server listens.
     pub address: SocketAddr,
-    /// When discovery had it as draining or as removed.
+    /// Time at which discovery had the server as draining or removed.
     pub withdrawn_at: Option<Instant>,
-    /// When a list that shows this was written completely, or a process was started with one.
+    /// Time at which a list that shows this was written completely, or at which a process was started with
+    /// such a list.
     pub withdrawal_written_at: Option<Instant>,
 }
 
@@ -93,13 +94,13 @@
 /// A time in which discovery could not be reached.
 #[derive(Debug, Clone, Copy)]
 pub struct Outage {
-    /// When it began.
+    /// Start of the outage.
     pub began_at: Instant,
-    /// When it ended.
+    /// End of the outage; `None` if it lasts.
     pub ended_at: Option<Instant>,
 }
 
-/// What was observed in one run: attempts, requests, servers, outages and the processes.
+/// Records of one run: attempts, requests, servers, outages and the processes.
 #[derive(Debug, Default)]
 pub struct Records {
     /// Attempts in the order in which they began.
@@ -110,7 +111,7 @@
     pub servers: Vec<ServerRecord>,
     /// Outages of discovery in the order in which they began.
     pub outages: Vec<Outage>,
-    /// When a process got SIGHUP with another address of discovery.
+    /// Times of SIGHUP with another address of discovery.
     pub reloads: Vec<Instant>,
     /// Times from SIGTERM to the end of the process, or to SIGKILL.
     pub shutdowns: Vec<Duration>,
--- a/crates/test-support/src/soak/report.rs
+++ b/crates/test-support/src/soak/report.rs
@@ -8,11 +8,11 @@
 /// The result of a run.
 #[derive(Debug, Clone)]
 pub struct SoakReport {
-    /// Violations of rules.
+    /// Violations of rules that the oracle found.
     pub violations: Vec<Violation>,
-    /// Requests made.
+    /// Number of requests that clients sent.
     pub requests: usize,
-    /// Those that were served.
+    /// Number of requests that were served.
     pub served: usize,
     /// Attempts that servers received.
     pub attempts: usize,
--- a/crates/test-support/src/soak/scenario.rs
+++ b/crates/test-support/src/soak/scenario.rs
@@ -11,7 +11,7 @@
     Safe,
     /// Servers run it once for each key.
     Keyed,
-    /// May run once.
+    /// A request may run only once.
     Unsafe,
 }
 
@@ -19,7 +19,7 @@
     /// All classes, in the order of the settings.
     pub const ALL: [Class; 3] = [Class::Safe, Class::Keyed, Class::Unsafe];
 
-    /// Its name in the settings and in requests.
+    /// Returns the name of the class in settings and requests.
     #[must_use]
     pub fn name(self) -> &'static str {
         match self {
@@ -30,33 +30,33 @@
     }
 }
 
-/// How a server handles requests.
+/// The behavior of a server towards requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Behavior {
-    /// Serves them.
+    /// The server serves all requests.
     Serve,
-    /// Responds that its queue is full.
+    /// The server responds that its queue is full.
     Full,
-    /// Does not respond.
+    /// The server never responds.
     Hang,
-    /// Resets the connection after the request.
+    /// The server resets the connection after the request.
     Reset,
-    /// Answers 500.
+    /// The server responds with 500.
     Fail,
-    /// Resets the connection within its response.
+    /// The server resets the connection within its response.
     BreakOff,
-    /// Serves them, and closes each connection soon after its response.
+    /// The server serves requests, and closes each connection soon after its response.
     CloseIdle,
 }
 
-/// How discovery responds to calls.
+/// The behavior of discovery towards calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ListDelivery {
-    /// Responds completely.
+    /// Discovery responds completely.
     Complete,
-    /// Closes the connection within its responses.
+    /// Discovery closes the connection within its responses.
     CutOff,
-    /// Sends its responses in pieces, with delays.
+    /// Discovery sends its responses in pieces, with delays.
     Slow,
 }
 
@@ -92,7 +92,7 @@
     pub seed: u64,
     /// Servers listed at the start.
     pub servers: usize,
-    /// Requests a second.
+    /// Requests per second of all clients.
     pub rate: f64,
     /// Longest deadline of a class.
     pub deadline: Duration,
--- a/crates/test-support/src/soak/stream.rs
+++ b/crates/test-support/src/soak/stream.rs
@@ -13,7 +13,7 @@
     buffer: Vec<u8>,
 }
 
-/// How reading a message ended.
+/// The result of reading a message.
 pub(super) enum Received {
     /// A complete message, and when its first byte came to the system.
     Message(Message, Instant),
@@ -63,7 +63,7 @@
         Received::Message(message, began_at)
     }
 
-    /// Resets the connection.
+    /// Resets the connection instead of closing it.
     pub(super) fn reset(self) {
         let _ = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
     }
--- a/crates/test-support/src/wait.rs
+++ b/crates/test-support/src/wait.rs
@@ -42,7 +42,7 @@
         latch
     }
 
-    /// Closes the latch.
+    /// Closes the latch, so that waiting threads stay blocked.
     pub fn close(&self) {
         self.set(true);
     }
