--- a/crates/proxy/src/cluster/fallback.rs
+++ b/crates/proxy/src/cluster/fallback.rs
@@ -16,12 +16,12 @@
 pub(crate) struct Fallback(Option<StoredResponse>);
 
 impl Fallback {
-    /// Stores the response of an attempt that ended with `outcome`. A server that ran the request is
-    /// the better witness: its response is not replaced by that of a server that never did.
+    /// Stores the response of an attempt that ended with `outcome`. A response of a server that ran
+    /// the request is not replaced by one of a server that never ran it.
     pub(crate) fn store(&mut self, outcome: Outcome, response: UpstreamResponse) {
         let states_never_ran = outcome.never_ran();
-        let has_witness = self.0.as_ref().is_some_and(|stored| !stored.states_never_ran);
-        if !(states_never_ran && has_witness) {
+        let has_run_elsewhere = self.0.as_ref().is_some_and(|stored| !stored.states_never_ran);
+        if !(states_never_ran && has_run_elsewhere) {
             self.0 = Some(StoredResponse { response, states_never_ran });
         }
     }
@@ -31,7 +31,7 @@
     /// attempt only, but a client takes it as true of the request.
     pub(crate) fn take(&mut self, may_have_run: bool) -> Option<UpstreamResponse> {
         let stored = self.0.take()?;
-        let is_true = !(stored.states_never_ran && may_have_run);
-        is_true.then_some(stored.response)
+        let may_be_false = stored.states_never_ran && may_have_run;
+        (!may_be_false).then_some(stored.response)
     }
 }
