Test of final responses: the daemon's own `send_request` and `ok_response`

Found on reading the change once more.

Change: it calls both; rows and assertions are as they were. No other file is touched.

Result: its four tests pass.

--- a/crates/mintshelf/tests/attempts/final_responses.rs
+++ b/crates/mintshelf/tests/attempts/final_responses.rs
@@ -2,7 +2,7 @@
 //! that is true of every attempt.
 
 use crate::fixture::daemon;
-use mintshelf_test_support::{connect, read_to_close, Daemon, Message, Peer};
+use mintshelf_test_support::{ok_response, read_to_close, Daemon, Message, Peer};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -52,7 +52,7 @@
             Step::Fail => stream.write_all(b"HTTP/1.1 500 Oops\r\nContent-Length: 6\r\n\r\nfailed"),
             Step::ServeLate => {
                 thread::sleep(Duration::from_secs(1));
-                stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nserved")
+                stream.write_all(&ok_response("served"))
             }
             Step::NeverRun => respond_never_ran(stream, 4),
             Step::NeverRunLong => respond_never_ran(stream, STREAMED_BYTES),
@@ -109,9 +109,7 @@
     } else {
         b"POST /devices/7 HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k\r\nContent-Length: 4\r\n\r\nbody"
     };
-    let mut stream = connect(daemon.address).unwrap();
-    stream.write_all(request).unwrap();
-    Message::read(&mut stream).expect("a response")
+    daemon.send_request(request).expect("a response")
 }
 
 /// One row: the class, the script of its attempts, and the status that the client gets, from a
