--- a/crates/mintshelf/src/metrics.rs
+++ b/crates/mintshelf/src/metrics.rs
@@ -34,6 +34,13 @@
     registry.gauges(memory, "holder", holders);
     let limit = Metric::new("memory_limit_bytes", "Memory limit of the process");
     registry.gauge(limit, gauge_value(daemon.memory.limit()));
+    let guaranteed = Metric::new(
+        "memory_guaranteed_admissions",
+        "Admissions of memory above their threshold, within what clients are guaranteed",
+    );
+    registry.counter(guaranteed, report.guaranteed_admissions);
+    let waits = Metric::new("memory_waits", "Waits of requests for memory");
+    registry.counter(waits, report.waits);
 }
 
 fn register_requests(registry: &mut MetricRegistry, daemon: &Daemon) {
--- a/crates/mintshelf/src/metrics/registry.rs
+++ b/crates/mintshelf/src/metrics/registry.rs
@@ -56,6 +56,13 @@
         self.registry.register(metric.name, metric.help, gauge);
     }
 
+    /// Registers a counter without labels.
+    pub(super) fn counter(&mut self, metric: Metric, value: u64) {
+        let counter: Counter = Counter::default();
+        counter.inc_by(value);
+        self.registry.register(metric.name, metric.help, counter);
+    }
+
     /// Registers a gauge with one label.
     pub(super) fn gauges(
         &mut self,
--- a/crates/proxy/src/memory/admission.rs
+++ b/crates/proxy/src/memory/admission.rs
@@ -129,9 +129,32 @@
     /// Returns whether there is room for `bytes` more bytes of this use.
     #[must_use]
     pub fn has_room(&self, memory_use: MemoryUse, bytes: usize) -> bool {
+        self.is_below_threshold(memory_use, bytes) || self.is_guaranteed(bytes)
+    }
+
+    /// Returns whether `bytes` more bytes leave the allocated memory below the threshold of their
+    /// use.
+    fn is_below_threshold(&self, memory_use: MemoryUse, bytes: usize) -> bool {
+        let threshold = self.threshold(memory_use.admitted_fraction());
+        self.allocated().saturating_add(bytes) <= threshold
+    }
+
+    /// Returns whether client connections may use `bytes` more bytes whatever else holds memory.
+    fn is_guaranteed(&self, bytes: usize) -> bool {
         let guaranteed = fraction_of(self.capacity, GUARANTEED_FRACTION);
-        self.allocated().saturating_add(bytes) <= self.threshold(memory_use.admitted_fraction())
-            || self.client_bytes().saturating_add(bytes) <= guaranteed
+        self.client_bytes().saturating_add(bytes) <= guaranteed
+    }
+
+    /// Admits `bytes` more bytes of this use if there is room for them.
+    pub(super) fn try_admit(&self, memory_use: MemoryUse, bytes: usize) -> bool {
+        if self.is_below_threshold(memory_use, bytes) {
+            return true;
+        }
+        let is_admitted = self.is_guaranteed(bytes);
+        if is_admitted {
+            self.admissions.count_guaranteed();
+        }
+        is_admitted
     }
 
     /// Returns whether so much memory is used that the process economizes.
@@ -202,7 +225,7 @@
         let queues = &self.budget.queues;
         let ticket = self.ticket.unwrap_or(u64::MAX);
         let is_first = queues.is_first(self.memory_use, ticket);
-        if is_first && self.budget.has_room(self.memory_use, self.bytes) {
+        if is_first && self.budget.try_admit(self.memory_use, self.bytes) {
             if let Some(ticket) = self.ticket {
                 queues.leave(self.memory_use, ticket);
             }
@@ -210,6 +233,7 @@
             return Poll::Ready(());
         }
         let ticket = self.ticket.unwrap_or_else(|| {
+            self.budget.admissions.count_wait();
             queues.last_ticket.set(queues.last_ticket.get() + 1);
             queues.last_ticket.get()
         });
--- a/crates/proxy/src/memory/holders.rs
+++ b/crates/proxy/src/memory/holders.rs
@@ -61,13 +61,30 @@
 pub struct MemoryReport {
     /// Bytes by use, in the order of [`MemoryHolder::ALL`].
     bytes: [usize; MemoryHolder::ALL.len()],
+    /// Bytes on the heap.
+    pub allocated: usize,
+    /// Maximum number of bytes on the heap.
+    pub capacity: usize,
+    /// The sum of the differences that were measured around the work of client connections.
+    client_bytes: isize,
+    /// Number of admissions above the threshold of their use, since the start of the process.
+    pub guaranteed_admissions: u64,
+    /// Number of waits for memory, since the start of the process.
+    pub waits: u64,
 }
 
 impl MemoryReport {
     /// Reads what the memory is used for now. Takes time in proportion to the number of clients.
     #[must_use]
     pub fn read(budget: &MemoryBudget, clients: &Clients) -> Self {
-        let mut report = MemoryReport { bytes: [0; MemoryHolder::ALL.len()] };
+        let mut report = MemoryReport {
+            bytes: [0; MemoryHolder::ALL.len()],
+            allocated: budget.allocated(),
+            capacity: budget.capacity(),
+            client_bytes: budget.client_bytes.get(),
+            guaranteed_admissions: budget.admissions.guaranteed(),
+            waits: budget.admissions.waits(),
+        };
         for usage in clients.memory_by_phase() {
             *report.bytes_mut(MemoryHolder::of_phase(usage.phase)) += usage.bytes;
         }
@@ -75,7 +92,7 @@
         *report.bytes_mut(MemoryHolder::EndpointLists) = endpoint_lists;
         *report.bytes_mut(MemoryHolder::Start) = budget.at_start;
         let known: usize = report.bytes.iter().sum();
-        *report.bytes_mut(MemoryHolder::Other) = budget.allocated().saturating_sub(known);
+        *report.bytes_mut(MemoryHolder::Other) = report.allocated.saturating_sub(known);
         report
     }
 
@@ -96,6 +113,13 @@
             let separator = if index == 0 { "" } else { " " };
             write!(formatter, "{separator}{}={}K", holder.name(), self.bytes(holder) >> 10)?;
         }
-        Ok(())
+        write!(
+            formatter,
+            " allocated={}K capacity={}K",
+            self.allocated >> 10,
+            self.capacity >> 10
+        )?;
+        write!(formatter, " client_bytes={}K", self.client_bytes >> 10)?;
+        write!(formatter, " guaranteed={} waits={}", self.guaranteed_admissions, self.waits)
     }
 }
--- a/crates/proxy/src/memory/mod.rs
+++ b/crates/proxy/src/memory/mod.rs
@@ -4,6 +4,7 @@
 //! process. Everything that the process holds counts, whichever library has allocated it.
 
 mod admission;
+mod counts;
 mod holders;
 mod monitor;
 mod read_gate;
@@ -14,6 +15,7 @@
 pub(crate) use read_gate::ReadGate;
 
 use admission::WaitQueues;
+use counts::AdmissionCounts;
 use std::cell::Cell;
 use std::fmt;
 
@@ -41,6 +43,7 @@
     /// Bytes that client connections, their requests and their responses hold.
     client_bytes: Cell<isize>,
     queues: WaitQueues,
+    admissions: AdmissionCounts,
 }
 
 impl fmt::Debug for MemoryBudget {
@@ -64,6 +67,7 @@
             endpoint_lists: Cell::new(0),
             client_bytes: Cell::new(0),
             queues: WaitQueues::default(),
+            admissions: AdmissionCounts::default(),
         }
     }
 
--- a/crates/proxy/src/memory/read_gate.rs
+++ b/crates/proxy/src/memory/read_gate.rs
@@ -33,7 +33,7 @@
         memory_use: MemoryUse,
         stream: &SharedStream,
     ) -> Poll<()> {
-        if self.wait.is_none() && self.budget.has_room(memory_use, READ_BYTES) {
+        if self.wait.is_none() && self.budget.try_admit(memory_use, READ_BYTES) {
             return Poll::Ready(());
         }
         if pending(stream) != Pending::Bytes {
