--- /dev/null
+++ b/crates/mintshelf/tests/memory_limit/after_traffic.rs
@@ -0,0 +1,117 @@
+//! Crowds one after another, against a process that has served ordinary traffic before.
+
+use crate::crowds::{fast_crowd, post, slow_crowd, FIELDS};
+use crate::limits::Limits;
+use crate::play::{lock_crowds, play};
+use crate::proxies::{start_checking_sidecar, start_daemon, Proxy};
+use mintshelf_test_support::{
+    ok_response, request, CrowdPlan, KeptClients, KeptClientsPlan, Server,
+};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The least memory that the pages name, with many descriptors.
+const LIMITS: Limits = Limits { memory_mb: 32, descriptors: 1024 };
+/// Number of servers.
+const SERVERS: usize = 4;
+/// Number of clients that keep their connections throughout.
+const KEPT_CLIENTS: usize = 40;
+/// Pause of a client between a response and its next request.
+const PAUSE: Duration = Duration::from_millis(20);
+/// Number of requests of each client before the first crowd.
+const REQUESTS: usize = 100;
+
+/// Servers that report a changing load, and respond with a body of this length.
+fn start_servers(body_bytes: usize) -> Vec<Server> {
+    (0..SERVERS).map(|_| start_server(body_bytes)).collect()
+}
+
+fn start_server(body_bytes: usize) -> Server {
+    let body = "y".repeat(body_bytes);
+    Server::start(move |message, number| {
+        let load = number % 5;
+        match message.path() {
+            "/-/load" => Some(ok_response(&format!("TEXT queue={load}, inflight={load}"))),
+            _ => Some(ok_response(&body)),
+        }
+    })
+}
+
+fn addresses(servers: &[Server]) -> Vec<SocketAddr> {
+    servers.iter().map(|server| server.address).collect()
+}
+
+/// Serves clients that keep their connections.
+fn serve_kept_clients(proxy: &impl Proxy) -> KeptClients {
+    let plan = KeptClientsPlan {
+        clients: KEPT_CLIENTS,
+        requests: REQUESTS,
+        pause: PAUSE,
+        request: Arc::new(|client, number| request("safe", &format!("kept-{client}-{number}"))),
+    };
+    let kept = KeptClients::run(proxy.listen_address(), &plan);
+    assert_eq!(kept.responses(), KEPT_CLIENTS * REQUESTS);
+    assert_eq!(kept.connections(), KEPT_CLIENTS);
+    kept
+}
+
+/// The crowds that are played one after another.
+fn crowds() -> Vec<CrowdPlan> {
+    vec![
+        fast_crowd(|number| get_with_fields(&format!("g{number}"))),
+        slow_crowd(|number| post(&format!("u{number}"), FIELDS, 20_000, 500)),
+        fast_crowd(|number| post(&format!("e{number}"), FIELDS, 0, 0)),
+        slow_crowd(|number| post(&format!("p{number}"), FIELDS, 60_000, 0)),
+    ]
+}
+
+/// A complete GET with as many short fields as are allowed.
+fn get_with_fields(id: &str) -> Vec<u8> {
+    let head = String::from_utf8(request("safe", id)).unwrap();
+    let fields: String = (0..FIELDS).map(|number| format!("x{number}: 1\r\n")).collect();
+    head.replace("\r\n\r\n", &format!("\r\n{fields}\r\n")).into_bytes()
+}
+
+#[test]
+fn crowds_after_short_responses_stay_within_the_memory_limit() {
+    let _one_crowd = lock_crowds();
+    let servers = start_servers(50);
+    let (_discovery, sidecar) = start_checking_sidecar(&addresses(&servers), LIMITS);
+    let _kept = serve_kept_clients(&sidecar);
+    for crowd in crowds() {
+        play(&sidecar, LIMITS, crowd);
+    }
+}
+
+#[test]
+fn crowds_after_long_responses_stay_within_the_memory_limit() {
+    let _one_crowd = lock_crowds();
+    let servers = start_servers(6_000);
+    let (_discovery, sidecar) = start_checking_sidecar(&addresses(&servers), LIMITS);
+    let _kept = serve_kept_clients(&sidecar);
+    for crowd in crowds() {
+        play(&sidecar, LIMITS, crowd);
+    }
+}
+
+#[test]
+fn crowds_behind_health_checks_stay_within_the_memory_limit() {
+    let _one_crowd = lock_crowds();
+    let servers = start_servers(50);
+    let (_discovery, sidecar) = start_checking_sidecar(&addresses(&servers), LIMITS);
+    for crowd in crowds() {
+        play(&sidecar, LIMITS, crowd);
+    }
+}
+
+#[test]
+fn the_daemon_stays_within_the_memory_limit_after_traffic() {
+    let _one_crowd = lock_crowds();
+    let servers = start_servers(50);
+    let daemon = start_daemon(&addresses(&servers), LIMITS);
+    let _kept = serve_kept_clients(&daemon);
+    for crowd in crowds() {
+        play(&daemon, LIMITS, crowd);
+    }
+}
--- /dev/null
+++ b/crates/mintshelf/tests/memory_limit/main.rs
@@ -0,0 +1,10 @@
+//! The memory limit of the process, under crowds of clients and servers that answer slowly.
+
+mod after_traffic;
+mod crowds;
+mod limits;
+mod one_crowd;
+mod play;
+mod proxies;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_mintshelf");
