What requests hold is counted by accounts that give back what they took

Callers saw a sidecar killed at its memory limit after half a minute of ordinary traffic. Cause: MemoryBudget admits anything while client connections hold less than an eighth of the heap; what they hold was a sum of differences of the allocator's count around each poll of a connection. With health checks before each attempt the attempt is started by the check's result, in the check's task: its future and the copy of the head were allocated there and freed within the client's poll, some 9 KB less with each response. Change: each request has an account, to which its owners add what they know of; it is closed when the last of them drops it. The exception, the shares in the report and the choice of connections that give up buffers go by accounts. New property test: whatever order accounts and claims are opened and closed in, nothing is left and no count falls below what is held.

--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -1,19 +1,22 @@
 //! The state of one client connection that other modules use: its phase and its timeouts.
 
+use super::handler::ResponseBody;
 use super::head_scanner::RequestHeadScanner;
 use super::phase::EvictionPriority;
 pub use super::phase::{ClientTimeouts, Phase};
-use super::request_memory::RequestMemory;
+pub use super::request_memory::RequestMemory;
 use super::scanned_head::ScannedHead;
-use crate::memory::MemoryUse;
+use crate::memory::{MemoryAccount, MemoryUse};
 use crate::tcp::{is_closed_by_peer, is_reset, pending, Pending, SharedStream, TrafficObserver};
 use crate::upstream::attempt_control::ResponseRecipient;
 use bytes::Bytes;
+use hyper::Response;
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -88,6 +91,7 @@
         peer: SocketAddr,
         timeouts: ClientTimeouts,
         accept_wait: Duration,
+        memory: RequestMemory,
     ) -> Self {
         // If no bytes have arrived, the request was sent after the connection was accepted.
         let is_request_queued =
@@ -105,7 +109,7 @@
             is_response_read: Cell::new(false),
             has_sent: Cell::new(false),
             accept_wait: Cell::new(accept_wait),
-            memory: RequestMemory::default(),
+            memory,
             responding_since: Cell::new(None),
             closes_after_response: Cell::new(false),
             buffers_wanted: Notify::new(),
@@ -137,9 +141,14 @@
         self.phase_since.set(Instant::now());
     }
 
-    /// Records that there is memory for the body.
-    pub(crate) fn admit_body(&self) {
-        self.memory.admit_body();
+    /// Records that there is memory for a body of at most `bytes` bytes.
+    pub(crate) fn admit_body(&self, bytes: usize) {
+        self.memory.admit_body(bytes);
+    }
+
+    /// Returns the account of the current request.
+    pub(crate) fn memory_account(&self) -> Rc<MemoryAccount> {
+        self.memory.account()
     }
 
     /// Returns how long the current request has waited unread for memory, once.
@@ -186,7 +195,8 @@
     }
 
     /// Records that a response begins to be written.
-    pub(super) fn begin_response(&self) {
+    pub(super) fn begin_response(&self, response: &Response<ResponseBody>) {
+        self.memory.count_response(response);
         self.enter(Phase::Busy);
         self.responding_since.set(Some(Instant::now()));
     }
@@ -269,7 +279,7 @@
 impl TrafficObserver for Client {
     fn read(&self, bytes: &[u8]) {
         self.memory.resume();
-        self.memory.count_traffic(bytes.len());
+        self.memory.count_read(bytes.len());
         if !bytes.is_empty() {
             self.has_sent.set(true);
         }
--- a/crates/proxy/src/client/registry.rs
+++ b/crates/proxy/src/client/registry.rs
@@ -20,7 +20,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ClientMemory {
     pub(crate) phase: Phase,
-    /// Bytes that the connection, its request and its response hold on the heap.
+    /// Bytes of the connection, its request and its response.
     pub(crate) bytes: usize,
 }
 
@@ -70,7 +70,7 @@
     fn relieve_shortage(&self) {
         let clients = self.by_number.borrow();
         let holding: Vec<_> =
-            clients.values().filter(|client| client.memory.held_bytes() > 0).collect();
+            clients.values().filter(|client| client.memory.holds_buffers()).collect();
         let idle = holding.iter().filter(|client| client.phase() == Phase::Idle);
         idle.for_each(|client| client.buffers_wanted.notify_one());
         let now = Instant::now();
@@ -126,10 +126,9 @@
     /// Returns the memory of each connection, with its phase.
     pub(crate) fn memory_by_phase(&self) -> Vec<ClientMemory> {
         let clients = self.by_number.borrow();
-        let usage = clients.values().map(|client| ClientMemory {
-            phase: client.phase(),
-            bytes: client.memory.held_bytes(),
-        });
+        let usage = clients
+            .values()
+            .map(|client| ClientMemory { phase: client.phase(), bytes: client.memory.bytes() });
         usage.collect()
     }
 
--- a/crates/proxy/src/client/serve.rs
+++ b/crates/proxy/src/client/serve.rs
@@ -7,6 +7,7 @@
 use super::connection::{Client, ClientTimeouts, Phase};
 use super::handler::{ClientRequest, RequestHandler, ResponseBody, TrackedBody};
 use super::registry::Clients;
+use super::request_memory::RequestMemory;
 use crate::memory::{MemoryBudget, MemoryUse};
 use crate::tcp::{close_gracefully, pending, ObservedStream, Pending, SharedStream};
 use bytes::Bytes;
@@ -84,14 +85,15 @@
             Pending::Bytes => accepted.arrived_after.elapsed(),
             Pending::Nothing | Pending::End => Duration::ZERO,
         };
-        let client = Client::new(stream.clone(), accepted.peer, self.timeouts, accept_wait);
+        let memory = RequestMemory::new(&self.memory);
+        let client = Client::new(stream.clone(), accepted.peer, self.timeouts, accept_wait, memory);
         let client = Rc::new(client);
         let number = self.clients.add(client.clone());
         let mut read_ahead = Bytes::new();
         loop {
             // Boxed, so that a WebSocket that follows does not keep the memory of this future.
             let next = Box::pin(self.serve_next(&stream, &client, read_ahead)).await;
-            self.memory.add_client_bytes(client.memory.reset_held_bytes().saturating_neg());
+            client.memory.release_buffers();
             match next {
                 NextStep::ServeAgain(bytes) => read_ahead = bytes,
                 NextStep::Close { mode, reason } => {
@@ -146,6 +148,7 @@
         client: &Rc<Client>,
         read_ahead: Bytes,
     ) -> NextStep {
+        let _buffers = client.memory.claim_buffers(CONNECTION_BYTES);
         let observed = ObservedStream::new(stream.clone(), client.clone(), read_ahead);
         let observed = observed.admitted_by(&self.memory);
         let service = service_fn(|request| Box::pin(self.respond(client.clone(), request)));
@@ -158,7 +161,7 @@
         let mut connection = builder.serve_connection(TokioIo::new(observed), service);
         let result = tokio::select! {
             biased;
-            result = poll_fn(|cx| self.poll_connection(&mut connection, client, cx)) => result,
+            result = poll_fn(|cx| Self::poll_connection(&mut connection, client, cx)) => result,
             () = wait_until_buffers_wanted(client) => ConnectionStep::Idle,
             (mode, reason) = wait_for_close(client, &self.draining) => {
                 return NextStep::Close { mode, reason };
@@ -180,9 +183,8 @@
         }
     }
 
-    /// Polls the HTTP library's side of a connection, and measures the memory that it holds.
+    /// Polls the HTTP library's side of a connection.
     fn poll_connection<S>(
-        &self,
         connection: &mut Connection<TokioIo<ObservedStream<Client>>, S>,
         client: &Client,
         cx: &mut Context<'_>,
@@ -192,12 +194,7 @@
         S: Unpin,
         S::Future: Unpin,
     {
-        let before = self.memory.allocated();
-        let polled = connection.poll_without_shutdown(cx);
-        let difference = self.memory.allocated().cast_signed() - before.cast_signed();
-        client.memory.add_held_bytes(difference);
-        self.memory.add_client_bytes(difference);
-        match polled {
+        match connection.poll_without_shutdown(cx) {
             Poll::Ready(Ok(())) => Poll::Ready(ConnectionStep::Ended),
             Poll::Ready(Err(_)) => Poll::Ready(ConnectionStep::Failed),
             Poll::Pending if client.holds_idle_buffers() => Poll::Ready(ConnectionStep::Idle),
@@ -226,6 +223,7 @@
     ) -> Result<Response<TrackedBody>, Infallible> {
         let is_draining = self.draining.is_cancelled();
         client.begin_request();
+        client.memory.count_head(request.headers());
         // Taken here, for every request, so that each is judged by its own head.
         let head = client.next_head();
         let request = ClientRequest { client: client.clone(), head, request, is_draining };
@@ -238,7 +236,7 @@
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
-        client.begin_response();
+        client.begin_response(&response);
         Ok(response.map(|body: ResponseBody| TrackedBody::new(body, client)))
     }
 }
--- a/crates/proxy/src/cluster/attempt.rs
+++ b/crates/proxy/src/cluster/attempt.rs
@@ -10,12 +10,10 @@
 use super::attempt_timeouts::{self, AttemptTimeouts};
 use crate::upstream::attempt_control::AttemptControl;
 use crate::upstream::connection::Target;
-use crate::upstream::exchange::AttemptDeadlines;
-use crate::upstream::request_body::RequestBody;
+use crate::upstream::exchange::{AttemptDeadlines, AttemptMessage};
 use crate::upstream::response::{
     AttemptResult, UpgradedConnection, UpstreamBody, UpstreamResponse,
 };
-use hyper::Request;
 use mintshelf_balancer::api::{AttemptNumber, ClassId, Event, Outcome, RequestId};
 use std::rc::Rc;
 
@@ -35,7 +33,7 @@
     pub(super) async fn run(
         self,
         target: Option<Target>,
-        message: Request<RequestBody>,
+        message: AttemptMessage,
         deadlines: AttemptDeadlines,
         control: Rc<AttemptControl>,
     ) {
@@ -49,7 +47,7 @@
     async fn exchange(
         &self,
         target: Target,
-        message: Request<RequestBody>,
+        message: AttemptMessage,
         deadlines: AttemptDeadlines,
         control: &AttemptControl,
     ) -> AttemptResult {
--- a/crates/proxy/src/cluster/attempt_start.rs
+++ b/crates/proxy/src/cluster/attempt_start.rs
@@ -5,12 +5,12 @@
 use super::attempt_record::NewAttempt;
 use super::attempt_supervisor::AttemptSupervisor;
 use super::pending_requests::PendingRequest;
-use super::request::RequestOutcome;
+use super::request::{RequestOutcome, UpstreamRequest};
 use super::state::RuntimeState;
 use super::trace;
 use crate::upstream::attempt_control::AttemptControl;
+use crate::upstream::exchange::AttemptMessage;
 use crate::upstream::request_body::RequestBody;
-use hyper::Request;
 use mintshelf_balancer::api::{AttemptNumber, Event, RequestId, ServerId};
 use mintshelf_time::Nanos;
 use std::rc::Rc;
@@ -94,9 +94,10 @@
     request: &PendingRequest,
     id: &RequestId,
     number: AttemptNumber,
-) -> Request<RequestBody> {
-    let message = request.upstream_request.message.clone();
-    if let RequestBody::Streamed(body) = message.body() {
+) -> AttemptMessage {
+    let UpstreamRequest { message, memory, .. } = &request.upstream_request;
+    let message = AttemptMessage { request: message.clone(), memory: memory.clone() };
+    if let RequestBody::Streamed(body) = message.request.body() {
         // Once part of a streamed body has been sent, the decision module must not retry the
         // request.
         let supervisor = Rc::downgrade(supervisor);
--- a/crates/proxy/src/cluster/request.rs
+++ b/crates/proxy/src/cluster/request.rs
@@ -1,5 +1,6 @@
 //! Requests to a cluster's runtime, and their final outcomes.
 
+use crate::memory::MemoryAccount;
 use crate::upstream::attempt_control::ResponseRecipient;
 use crate::upstream::request_body::RequestBody;
 use crate::upstream::response::UpstreamResponse;
@@ -56,6 +57,8 @@
     pub transaction_id: Option<HeaderValue>,
     /// The body's bytes in the memory budget, reserved until the last attempt has ended.
     pub body_permit: Option<OwnedSemaphorePermit>,
+    /// The account of the request's memory, kept until the last attempt has ended.
+    pub memory: Rc<MemoryAccount>,
     /// The client that waits for the response; `None` for a request that this process originates.
     pub client: Option<Rc<dyn ResponseRecipient>>,
 }
--- a/crates/proxy/src/cluster/runtime.rs
+++ b/crates/proxy/src/cluster/runtime.rs
@@ -16,6 +16,7 @@
 use super::trace::{self, ListChanges, Verdict};
 use crate::clock::Clock;
 use crate::endpoints::{Endpoint, EndpointListObserver};
+use crate::memory::MemoryAccount;
 use crate::upstream::pool::{ConnectionPool, Upstream};
 use crate::upstream::response::UpstreamResponse;
 use mintshelf_balancer::api::{
@@ -125,6 +126,11 @@
         self.observer.on_suspected_failure(Box::new(callback));
     }
 
+    /// Opens an account for the memory of a request that this process originates.
+    pub(crate) fn open_memory_account(&self) -> Rc<MemoryAccount> {
+        MemoryAccount::open(self.upstream.memory())
+    }
+
     /// Resolves all pending requests at the end of a graceful shutdown, without waiting for servers
     /// any longer. Rejected clients may retry `retry_after` nanoseconds later.
     pub fn resolve_all(self: &Rc<Self>, retry_after: Nanos) {
--- a/crates/proxy/src/gateway/forward.rs
+++ b/crates/proxy/src/gateway/forward.rs
@@ -262,6 +262,7 @@
             message: Request::from_parts(head, body.body),
             transaction_id: None,
             body_permit: body.permit,
+            memory: self.client.memory_account(),
             client: Some(self.client.clone()),
         };
         let options = DispatchOptions {
--- a/crates/proxy/src/gateway/request_body.rs
+++ b/crates/proxy/src/gateway/request_body.rs
@@ -68,7 +68,7 @@
     let Ok(Ok(permit)) = timeout(CAPACITY_WAIT, admitted).await else {
         return Err(no_capacity());
     };
-    client.admit_body();
+    client.admit_body(max_bytes);
     client.enter(Phase::Busy);
     let start = read_start(plan, &mut body).await?;
     if client.is_body_ambiguous() {
--- a/crates/proxy/src/gateway/socket_connector.rs
+++ b/crates/proxy/src/gateway/socket_connector.rs
@@ -26,6 +26,7 @@
             message: Request::from_parts(head, RequestBody::default()),
             transaction_id: None,
             body_permit: None,
+            memory: cluster.runtime.open_memory_account(),
             client: None,
         };
         let dispatched =
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -8,6 +8,9 @@
 /// Maximum number of headers in a request or a response of the platform.
 pub const HEADERS_MAX: usize = 256;
 
+/// Memory of a header in a map, in bytes: its entry, and its name and value in short.
+const HEADER_BYTES: usize = 200;
+
 /// Headers that apply to one connection and are not forwarded (RFC 9110 7.6.1).
 const HOP_BY_HOP: [HeaderName; 8] = [
     header::CONNECTION,
@@ -21,6 +24,11 @@
     header::EXPECT,
 ];
 
+/// Returns the memory that a map of headers takes, in bytes, without long names and values.
+pub(crate) fn map_bytes(headers: &HeaderMap) -> usize {
+    headers.len() * HEADER_BYTES
+}
+
 /// Removes the hop-by-hop headers of a message, those that `Connection` names, and Content-Length,
 /// which the framing on the next connection sets again.
 pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
--- a/crates/proxy/src/memory/admission.rs
+++ b/crates/proxy/src/memory/admission.rs
@@ -17,8 +17,8 @@
 
 /// Interval at which it is checked whether memory was freed, while something waits for memory.
 const CHECK_INTERVAL: Duration = Duration::from_millis(2);
-/// Fraction of the capacity that client connections may use whatever else holds memory, so that
-/// some requests are served even then.
+/// Fraction of the capacity that requests and their connections may use whatever else holds memory,
+/// so that some are served even then.
 const GUARANTEED_FRACTION: f64 = 0.125;
 /// Fraction of the available memory above which the process economizes: idle connections give up
 /// their buffers, and reads are short.
@@ -139,10 +139,10 @@
         self.allocated().saturating_add(bytes) <= threshold
     }
 
-    /// Returns whether client connections may use `bytes` more bytes whatever else holds memory.
+    /// Returns whether requests may use `bytes` more bytes whatever else holds memory.
     fn is_guaranteed(&self, bytes: usize) -> bool {
         let guaranteed = fraction_of(self.capacity, GUARANTEED_FRACTION);
-        self.client_bytes().saturating_add(bytes) <= guaranteed
+        self.claimed().saturating_add(bytes) <= guaranteed
     }
 
     /// Admits `bytes` more bytes of this use if there is room for them.
--- a/crates/proxy/src/memory/holders.rs
+++ b/crates/proxy/src/memory/holders.rs
@@ -65,8 +65,8 @@
     pub allocated: usize,
     /// Maximum number of bytes on the heap.
     pub capacity: usize,
-    /// The sum of the differences that were measured around the work of client connections.
-    client_bytes: isize,
+    /// Bytes of all accounts.
+    claimed: usize,
     /// Number of admissions above the threshold of their use, since the start of the process.
     pub guaranteed_admissions: u64,
     /// Number of waits for memory, since the start of the process.
@@ -81,7 +81,7 @@
             bytes: [0; MemoryHolder::ALL.len()],
             allocated: budget.allocated(),
             capacity: budget.capacity(),
-            client_bytes: budget.client_bytes.get(),
+            claimed: budget.claimed(),
             guaranteed_admissions: budget.admissions.guaranteed(),
             waits: budget.admissions.waits(),
         };
@@ -119,7 +119,7 @@
             self.allocated >> 10,
             self.capacity >> 10
         )?;
-        write!(formatter, " client_bytes={}K", self.client_bytes >> 10)?;
+        write!(formatter, " claimed={}K", self.claimed >> 10)?;
         write!(formatter, " guaranteed={} waits={}", self.guaranteed_admissions, self.waits)
     }
 }
--- a/crates/proxy/src/memory/mod.rs
+++ b/crates/proxy/src/memory/mod.rs
@@ -3,17 +3,20 @@
 //! [`MemoryBudget`] compares the bytes that are allocated at this moment with the limit of the
 //! process. Everything that the process holds counts, whichever library has allocated it.
 
+mod account;
 mod admission;
 mod counts;
 mod holders;
 mod monitor;
 mod read_gate;
 
+pub use account::{MemoryAccount, MemoryClaim};
 pub use admission::{MemoryUse, MemoryWait};
 pub use holders::{MemoryHolder, MemoryReport};
 pub use monitor::MemoryMonitor;
 pub(crate) use read_gate::ReadGate;
 
+use account::ByteCounter;
 use admission::WaitQueues;
 use counts::AdmissionCounts;
 use std::cell::Cell;
@@ -40,8 +43,8 @@
     at_start: usize,
     /// Bytes that endpoint lists and the state of their servers have added since.
     endpoint_lists: Cell<isize>,
-    /// Bytes that client connections, their requests and their responses hold.
-    client_bytes: Cell<isize>,
+    /// Bytes of all accounts.
+    claimed: ByteCounter,
     queues: WaitQueues,
     admissions: AdmissionCounts,
 }
@@ -65,7 +68,7 @@
             allocated,
             at_start: allocated(),
             endpoint_lists: Cell::new(0),
-            client_bytes: Cell::new(0),
+            claimed: ByteCounter::default(),
             queues: WaitQueues::default(),
             admissions: AdmissionCounts::default(),
         }
@@ -89,14 +92,10 @@
         (self.allocated)()
     }
 
-    /// Adds to the bytes that client connections hold.
-    pub(crate) fn add_client_bytes(&self, difference: isize) {
-        self.client_bytes.set(self.client_bytes.get().saturating_add(difference));
-    }
-
-    /// Returns the bytes that client connections, their requests and their responses hold.
-    fn client_bytes(&self) -> usize {
-        self.client_bytes.get().max(0).cast_unsigned()
+    /// Returns the bytes of all accounts.
+    #[must_use]
+    pub fn claimed(&self) -> usize {
+        self.claimed.get()
     }
 
     /// Runs `apply`, and counts the memory that it keeps as that of endpoint lists.
--- a/crates/proxy/src/platform/handler.rs
+++ b/crates/proxy/src/platform/handler.rs
@@ -98,6 +98,7 @@
             message: Request::from_parts(head, body.body),
             transaction_id: Some(transaction_id),
             body_permit: body.permit,
+            memory: client.memory_account(),
             client: Some(client.clone()),
         };
         let outcome = self.runtime.serve(metadata, request).await;
--- a/crates/proxy/src/platform/request_body.rs
+++ b/crates/proxy/src/platform/request_body.rs
@@ -82,7 +82,7 @@
     if bytes > 0 {
         let admitted = budgets.memory.admit(MemoryUse::RequestGrowth, bytes);
         timeout(max_wait, admitted).await.map_err(|_| no_capacity())?;
-        client.admit_body();
+        client.admit_body(bytes);
     }
     Ok(wait_began_at.elapsed())
 }
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -4,7 +4,7 @@
 use super::request_body::RequestBody;
 use super::write_progress::WriteProgress;
 use crate::body::{byte_count, short_length};
-use crate::memory::{MemoryBudget, MemoryUse};
+use crate::memory::{MemoryBudget, MemoryClaim, MemoryUse};
 use crate::tcp::{pending, ObservedStream, Pending, SharedStream};
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
@@ -63,6 +63,8 @@
     pub(crate) stream: SharedStream,
     pub(crate) progress: Rc<WriteProgress>,
     pub(crate) memory: Rc<MemoryBudget>,
+    /// The memory of the exchange; `None` without one, and for requests of this process.
+    pub(crate) claim: Option<MemoryClaim>,
     pub(crate) target: Target,
     pub(crate) key: PoolKey,
     pub(crate) idle_since: Instant,
@@ -79,6 +81,11 @@
 }
 
 impl UpstreamConnection {
+    /// Lets an exchange on the connection hold a claim.
+    pub(crate) fn with_claim(self, claim: MemoryClaim) -> Self {
+        UpstreamConnection { claim: Some(claim), ..self }
+    }
+
     /// Sends a request and waits for the head of its response; `may_run_early` is whether the server
     /// may begin to run the request before its last byte.
     ///
@@ -159,8 +166,11 @@
     }
 
     /// Waits until there is memory for a response body.
-    pub(crate) async fn admit_body(&self, bytes: usize) {
+    pub(crate) async fn admit_body(&mut self, bytes: usize) {
         self.memory.admit(MemoryUse::ResponseBody, bytes).await;
+        if let Some(claim) = &mut self.claim {
+            claim.grow(bytes);
+        }
         self.progress.admit_body();
     }
 
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -11,7 +11,7 @@
 use super::write_progress::WriteProgress;
 use crate::body::short_length;
 use crate::headers::BODY_MAX;
-use crate::memory::MemoryUse;
+use crate::memory::{MemoryAccount, MemoryClaim, MemoryUse};
 use crate::platform_protocol::REMAINING_MS;
 use bytes::Bytes;
 use hyper::header::HeaderValue;
@@ -38,6 +38,15 @@
     pub max_idle: Option<Duration>,
 }
 
+/// What an attempt sends, and the account that its memory belongs to.
+#[derive(Clone)]
+pub struct AttemptMessage {
+    /// The head and the body of the request.
+    pub request: Request<RequestBody>,
+    /// The account of the request's memory.
+    pub memory: Rc<MemoryAccount>,
+}
+
 /// Memory that the HTTP library takes for a connection to a server and a short request, in bytes.
 const CONNECTION_BYTES: usize = 24 << 10;
 
@@ -72,16 +81,16 @@
     pub async fn attempt(
         self: &Rc<Self>,
         target: Target,
-        request: Request<RequestBody>,
+        message: AttemptMessage,
         deadlines: AttemptDeadlines,
         control: &AttemptControl,
     ) -> AttemptResult {
         let progress = ExchangeProgress::default();
-        let upload = self.streamed_upload(&request);
+        let upload = self.streamed_upload(&message.request);
         let response_timeout = deadlines.end.saturating_duration_since(Instant::now());
         let stopped = tokio::select! {
             biased;
-            result = self.exchange(target, request, &progress, deadlines, control) => return result,
+            result = self.exchange(target, message, &progress, deadlines, control) => return result,
             () = control.cancelled() => Outcome::Cancelled,
             () = timed_out(upload, response_timeout, deadlines.end) => Outcome::TimedOut,
             () = send_deadline_missed(&progress, deadlines.send_by) => Outcome::Unused,
@@ -108,15 +117,17 @@
     async fn exchange(
         self: &Rc<Self>,
         target: Target,
-        mut request: Request<RequestBody>,
+        message: AttemptMessage,
         progress: &ExchangeProgress,
         deadlines: AttemptDeadlines,
         control: &AttemptControl,
     ) -> AttemptResult {
+        let AttemptMessage { mut request, memory } = message;
         let handshake = request.extensions().get::<Arc<HandshakeRequest>>().cloned();
         let admitted_connection = async {
-            self.admit_attempt(&request, progress).await;
-            self.connection_for(target, handshake.is_some(), deadlines).await
+            let claim = self.admit_attempt(&request, &memory, progress).await;
+            let connection = self.connection_for(target, handshake.is_some(), deadlines).await;
+            connection.map(|connection| connection.with_claim(claim))
         };
         let connection = tokio::select! {
             biased;
@@ -146,11 +157,17 @@
         }
     }
 
-    /// Waits until there is memory to send a request.
-    async fn admit_attempt(&self, request: &Request<RequestBody>, progress: &ExchangeProgress) {
+    /// Waits until there is memory to send a request, and claims it.
+    async fn admit_attempt(
+        &self,
+        request: &Request<RequestBody>,
+        memory: &Rc<MemoryAccount>,
+        progress: &ExchangeProgress,
+    ) -> MemoryClaim {
         let bytes = short_length(request.body()).unwrap_or(BODY_MAX) + CONNECTION_BYTES;
         self.memory().admit(MemoryUse::Attempt, bytes).await;
         progress.is_admitted.set(true);
+        memory.claim(bytes)
     }
 
     async fn connection_for(
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -217,6 +217,7 @@
     /// Returns a connection to the pool after its exchange, if it can carry another request.
     pub(crate) fn release(&self, mut connection: UpstreamConnection) {
         let mut cx = Context::from_waker(Waker::noop());
+        connection.claim = None;
         if self.memory().is_low() && connection.progress.exchange_bytes() > LARGE_EXCHANGE_BYTES {
             // An idle connection would keep the buffers.
             return;
@@ -284,6 +285,7 @@
             stream,
             progress,
             memory: self.memory().clone(),
+            claim: None,
             target,
             key: self.key(target.server),
             idle_since: Instant::now(),
--- a/crates/proxy/tests/client_registry.rs
+++ b/crates/proxy/tests/client_registry.rs
@@ -1,7 +1,8 @@
 //! Which client's connection is evicted when the connection budget is used up.
 
-use mintshelf_proxy::client::connection::{Client, ClientTimeouts, Phase};
+use mintshelf_proxy::client::connection::{Client, ClientTimeouts, Phase, RequestMemory};
 use mintshelf_proxy::client::registry::Clients;
+use mintshelf_proxy::memory::MemoryBudget;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,7 +23,8 @@
     let remote = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
     let (stream, peer) = listener.accept().await.unwrap();
     let stream = Rc::new(RefCell::new(stream));
-    let client = Rc::new(Client::new(stream, peer, TIMEOUTS, Duration::ZERO));
+    let memory = RequestMemory::new(&Rc::new(MemoryBudget::new(64 << 20, || 0)));
+    let client = Rc::new(Client::new(stream, peer, TIMEOUTS, Duration::ZERO, memory));
     client.enter(phase);
     clients.add(client.clone());
     // Eviction goes by age: no two phases may begin at the same instant.
