What an attempt is admitted for is reserved until it has its connection

Cause: an attempt was admitted for its body and 24 KiB and then waited for its connection, so that all that waited were admitted into the same free room; and the copy of the head (some 50 KB with 240 fields) was made when the attempt was started, which nobody had asked for. Change: a reservation, given back on drop, counts towards all thresholds until the attempt is about to be written; it is sized by the fields too; the copy is made then. The future of an attempt that waits is small. The new test admits 20 of 20 without the reservation, and 7 with it.

--- a/crates/proxy/src/cluster/request.rs
+++ b/crates/proxy/src/cluster/request.rs
@@ -51,8 +51,8 @@
 
 /// A request as it is sent to servers, with the memory budget that its body uses.
 pub struct UpstreamRequest {
-    /// Head and body of the request.
-    pub message: Request<RequestBody>,
+    /// Head and body of the request, of which each attempt makes a copy when it is sent.
+    pub message: Rc<Request<RequestBody>>,
     /// The id that the client gave the request; no two pending requests may share one.
     pub transaction_id: Option<HeaderValue>,
     /// The body's bytes in the memory budget, reserved until the last attempt has ended.
--- a/crates/proxy/src/gateway/forward.rs
+++ b/crates/proxy/src/gateway/forward.rs
@@ -259,7 +259,7 @@
         body: BudgetedBody,
     ) -> Result<Dispatched, Rejection> {
         let request = UpstreamRequest {
-            message: Request::from_parts(head, body.body),
+            message: Rc::new(Request::from_parts(head, body.body)),
             transaction_id: None,
             body_permit: body.permit,
             memory: self.client.memory_account(),
--- a/crates/proxy/src/gateway/socket_connector.rs
+++ b/crates/proxy/src/gateway/socket_connector.rs
@@ -7,6 +7,7 @@
 use crate::upstream::response::{UpstreamBody, UpstreamResponse};
 use crate::websocket::reconnect::{ReconnectRequest, ServerConnection, SocketConnector};
 use hyper::Request;
+use std::rc::Rc;
 
 impl SocketConnector for ActiveConfig {
     async fn connect(&self, request: &ReconnectRequest) -> Option<ServerConnection> {
@@ -23,7 +24,7 @@
             tenant: Some(request.tenant.clone()),
         };
         let request = UpstreamRequest {
-            message: Request::from_parts(head, RequestBody::default()),
+            message: Rc::new(Request::from_parts(head, RequestBody::default())),
             transaction_id: None,
             body_permit: None,
             memory: cluster.runtime.open_memory_account(),
--- a/crates/proxy/src/memory/account.rs
+++ b/crates/proxy/src/memory/account.rs
@@ -1,6 +1,6 @@
 //! Accounts of the memory that requests hold: what is taken is given back by the guard that took it.
 
-use super::MemoryBudget;
+use super::{MemoryBudget, MemoryUse};
 use std::cell::Cell;
 use std::fmt;
 use std::rc::Rc;
@@ -66,6 +66,18 @@
         MemoryClaim { account: self.clone(), bytes }
     }
 
+    /// Waits until there is room for `bytes` more bytes, and reserves them: nothing else is admitted
+    /// into that room before they are allocated.
+    pub async fn reserve(
+        self: &Rc<Self>,
+        memory_use: MemoryUse,
+        bytes: usize,
+    ) -> MemoryReservation {
+        self.budget.admit(memory_use, bytes).await;
+        self.budget.reserved.add(bytes);
+        MemoryReservation(Some(self.claim(bytes)))
+    }
+
     fn subtract(&self, bytes: usize) {
         self.bytes.subtract(bytes);
         self.budget.claimed.subtract(bytes);
@@ -99,3 +111,27 @@
         self.account.subtract(self.bytes);
     }
 }
+
+/// Bytes that were admitted and are not allocated yet; given back when this is dropped.
+#[derive(Debug)]
+#[must_use = "the bytes are reserved for as long as this lives"]
+pub struct MemoryReservation(Option<MemoryClaim>);
+
+impl MemoryReservation {
+    /// Ends the reservation when the bytes are about to be allocated, without a wait in between;
+    /// returns the claim on them.
+    #[must_use]
+    pub fn allocate(mut self) -> Option<MemoryClaim> {
+        let claim = self.0.take()?;
+        claim.account.budget.reserved.subtract(claim.bytes);
+        Some(claim)
+    }
+}
+
+impl Drop for MemoryReservation {
+    fn drop(&mut self) {
+        if let Some(claim) = &self.0 {
+            claim.account.budget.reserved.subtract(claim.bytes);
+        }
+    }
+}
--- a/crates/proxy/src/memory/admission.rs
+++ b/crates/proxy/src/memory/admission.rs
@@ -132,11 +132,11 @@
         self.is_below_threshold(memory_use, bytes) || self.is_guaranteed(bytes)
     }
 
-    /// Returns whether `bytes` more bytes leave the allocated memory below the threshold of their
-    /// use.
+    /// Returns whether `bytes` more bytes leave what is allocated and reserved below the threshold of
+    /// their use.
     fn is_below_threshold(&self, memory_use: MemoryUse, bytes: usize) -> bool {
         let threshold = self.threshold(memory_use.admitted_fraction());
-        self.allocated().saturating_add(bytes) <= threshold
+        self.allocated().saturating_add(self.reserved()).saturating_add(bytes) <= threshold
     }
 
     /// Returns whether requests may use `bytes` more bytes whatever else holds memory.
@@ -175,8 +175,8 @@
         self.queues.on_shortage.borrow_mut().push(Box::new(callback));
     }
 
-    /// Waits until there is room for `bytes` more bytes. What is admitted must be allocated at once,
-    /// as the room is not reserved.
+    /// Waits until there is room for `bytes` more bytes. What is admitted must be allocated at once:
+    /// otherwise use [`MemoryAccount::reserve`](super::MemoryAccount::reserve).
     pub fn admit(self: &Rc<Self>, memory_use: MemoryUse, bytes: usize) -> MemoryWait {
         MemoryWait { budget: self.clone(), memory_use, bytes, ticket: None }
     }
--- a/crates/proxy/src/memory/holders.rs
+++ b/crates/proxy/src/memory/holders.rs
@@ -67,6 +67,8 @@
     pub capacity: usize,
     /// Bytes of all accounts.
     claimed: usize,
+    /// Bytes that were admitted and are not allocated yet.
+    reserved: usize,
     /// Number of admissions above the threshold of their use, since the start of the process.
     pub guaranteed_admissions: u64,
     /// Number of waits for memory, since the start of the process.
@@ -82,6 +84,7 @@
             allocated: budget.allocated(),
             capacity: budget.capacity(),
             claimed: budget.claimed(),
+            reserved: budget.reserved(),
             guaranteed_admissions: budget.admissions.guaranteed(),
             waits: budget.admissions.waits(),
         };
@@ -118,7 +121,7 @@
             self.allocated >> 10,
             self.capacity >> 10
         )?;
-        write!(formatter, " claimed={}K", self.claimed >> 10)?;
+        write!(formatter, " claimed={}K reserved={}K", self.claimed >> 10, self.reserved >> 10)?;
         write!(formatter, " guaranteed={} waits={}", self.guaranteed_admissions, self.waits)
     }
 }
--- a/crates/proxy/src/memory/mod.rs
+++ b/crates/proxy/src/memory/mod.rs
@@ -11,7 +11,7 @@
 mod monitor;
 mod read_gate;
 
-pub use account::{MemoryAccount, MemoryClaim};
+pub use account::{MemoryAccount, MemoryClaim, MemoryReservation};
 pub use admission::{MemoryUse, MemoryWait};
 pub(crate) use endpoint_lists::EndpointListMemory;
 pub use holders::{MemoryHolder, MemoryReport};
@@ -46,6 +46,8 @@
     endpoint_lists: ByteCounter,
     /// Bytes of all accounts.
     claimed: ByteCounter,
+    /// Bytes that were admitted and are not allocated yet.
+    reserved: ByteCounter,
     queues: WaitQueues,
     admissions: AdmissionCounts,
 }
@@ -70,6 +72,7 @@
             at_start: allocated(),
             endpoint_lists: ByteCounter::default(),
             claimed: ByteCounter::default(),
+            reserved: ByteCounter::default(),
             queues: WaitQueues::default(),
             admissions: AdmissionCounts::default(),
         }
@@ -93,6 +96,12 @@
         (self.allocated)()
     }
 
+    /// Returns the bytes that were admitted and are not allocated yet.
+    #[must_use]
+    pub fn reserved(&self) -> usize {
+        self.reserved.get()
+    }
+
     /// Returns the bytes of all accounts.
     #[must_use]
     pub fn claimed(&self) -> usize {
--- a/crates/proxy/src/platform/handler.rs
+++ b/crates/proxy/src/platform/handler.rs
@@ -95,7 +95,7 @@
             return Ok(rejected);
         }
         let request = UpstreamRequest {
-            message: Request::from_parts(head, body.body),
+            message: Rc::new(Request::from_parts(head, body.body)),
             transaction_id: Some(transaction_id),
             body_permit: body.permit,
             memory: client.memory_account(),
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -81,11 +81,6 @@
 }
 
 impl UpstreamConnection {
-    /// Lets an exchange on the connection hold a claim.
-    pub(crate) fn with_claim(self, claim: MemoryClaim) -> Self {
-        UpstreamConnection { claim: Some(claim), ..self }
-    }
-
     /// Sends a request and waits for the head of its response; `may_run_early` is whether the server
     /// may begin to run the request before its last byte.
     ///
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -10,8 +10,8 @@
 use super::response::{AttemptResult, UpstreamProtocol};
 use super::write_progress::WriteProgress;
 use crate::body::short_length;
-use crate::headers::BODY_MAX;
-use crate::memory::{MemoryAccount, MemoryClaim, MemoryUse};
+use crate::headers::{map_bytes, BODY_MAX};
+use crate::memory::{MemoryAccount, MemoryUse};
 use crate::platform_protocol::REMAINING_MS;
 use bytes::Bytes;
 use hyper::header::HeaderValue;
@@ -41,8 +41,8 @@
 /// What an attempt sends, and the account that its memory belongs to.
 #[derive(Clone)]
 pub struct AttemptMessage {
-    /// The head and the body of the request.
-    pub request: Request<RequestBody>,
+    /// The head and the body of the request. They are copied when the attempt is sent.
+    pub request: Rc<Request<RequestBody>>,
     /// The account of the request's memory.
     pub memory: Rc<MemoryAccount>,
 }
@@ -122,20 +122,22 @@
         deadlines: AttemptDeadlines,
         control: &AttemptControl,
     ) -> AttemptResult {
-        let AttemptMessage { mut request, memory } = message;
+        let AttemptMessage { request, memory } = message;
         let handshake = request.extensions().get::<Arc<HandshakeRequest>>().cloned();
         let admitted_connection = async {
-            let claim = self.admit_attempt(&request, &memory, progress).await;
-            let connection = self.connection_for(target, handshake.is_some(), deadlines).await;
-            connection.map(|connection| connection.with_claim(claim))
+            let reservation = memory.reserve(MemoryUse::Attempt, attempt_bytes(&request)).await;
+            progress.is_admitted.set(true);
+            let connection = self.connection_for(target, handshake.is_some(), deadlines);
+            // In a box: the future of an attempt that waits for memory is to be small.
+            Box::pin(connection).await.map(|connection| (connection, reservation))
         };
         let connection = tokio::select! {
             biased;
             () = control.client_disconnected() => return Outcome::Unused.into(),
             connection = admitted_connection => connection,
         };
-        let connection = match connection {
-            Ok(connection) => connection,
+        let (mut connection, reservation) = match connection {
+            Ok(admitted) => admitted,
             Err(outcome) => return outcome.into(),
         };
         self.wait_for_arriving_list().await;
@@ -148,28 +150,19 @@
             return Outcome::Unused.into();
         }
         progress.follow(connection.progress.clone());
+        connection.claim = reservation.allocate();
+        let mut request = Request::clone(&request);
         if self.protocol == UpstreamProtocol::Platform {
             set_remaining_time(&mut request, deadlines.end);
         }
         match handshake {
-            Some(handshake) => self.exchange_handshake(connection, request, &handshake).await,
-            None => self.exchange_request(connection, request).await,
+            Some(handshake) => {
+                Box::pin(self.exchange_handshake(connection, request, &handshake)).await
+            }
+            None => Box::pin(self.exchange_request(connection, request)).await,
         }
     }
 
-    /// Waits until there is memory to send a request, and claims it.
-    async fn admit_attempt(
-        &self,
-        request: &Request<RequestBody>,
-        memory: &Rc<MemoryAccount>,
-        progress: &ExchangeProgress,
-    ) -> MemoryClaim {
-        let bytes = short_length(request.body()).unwrap_or(BODY_MAX) + CONNECTION_BYTES;
-        self.memory().admit(MemoryUse::Attempt, bytes).await;
-        progress.is_admitted.set(true);
-        memory.claim(bytes)
-    }
-
     async fn connection_for(
         &self,
         target: Target,
@@ -231,6 +224,13 @@
     }
 }
 
+/// Returns the memory that an attempt takes, in bytes: the copies of the head and of the body, and a
+/// connection.
+fn attempt_bytes(request: &Request<RequestBody>) -> usize {
+    let body_bytes = short_length(request.body()).unwrap_or(BODY_MAX);
+    map_bytes(request.headers()) + body_bytes + CONNECTION_BYTES
+}
+
 /// Waits until an attempt times out. For a streamed body, the time for the response starts when the
 /// body has been sent.
 async fn timed_out(upload: Option<Upload>, response_timeout: Duration, end: Instant) {
--- a/crates/proxy/tests/memory_accounts.rs
+++ b/crates/proxy/tests/memory_accounts.rs
@@ -1,11 +1,19 @@
 //! The memory accounts of requests: whatever happens in between, what was taken is given back.
 
-use mintshelf_proxy::memory::{MemoryAccount, MemoryBudget, MemoryClaim, MemoryUse};
+use mintshelf_proxy::memory::{
+    MemoryAccount, MemoryBudget, MemoryClaim, MemoryReservation, MemoryUse,
+};
 use proptest::prelude::{any, prop_assert_eq, proptest, Strategy};
 use proptest::prop_oneof;
 use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::sleep;
 
 const LIMIT: usize = 64 << 20;
+/// Longer than the interval at which the budget checks whether memory was freed.
+const CHECKED: Duration = Duration::from_millis(20);
 
 /// A step in the life of requests.
 #[derive(Debug, Clone, Copy)]
@@ -112,3 +120,44 @@
     drop(claim);
     assert!(budget.has_room(MemoryUse::RequestStart, guaranteed));
 }
+
+/// Reserves a tenth of the capacity for an attempt, and sends the reservation.
+fn reserve_tenth(budget: &Rc<MemoryBudget>, admitted: &UnboundedSender<MemoryReservation>) {
+    let account = MemoryAccount::open(budget);
+    let (bytes, admitted) = (budget.capacity() / 10, admitted.clone());
+    spawn_local(async move {
+        let reservation = account.reserve(MemoryUse::Attempt, bytes).await;
+        assert!(admitted.send(reservation).is_ok());
+    });
+}
+
+/// Takes the reservations that have been admitted by now.
+async fn take_admitted(
+    admitted: &mut UnboundedReceiver<MemoryReservation>,
+) -> Vec<MemoryReservation> {
+    sleep(CHECKED).await;
+    std::iter::from_fn(|| admitted.try_recv().ok()).collect()
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn what_waits_for_its_connection_is_not_admitted_into_the_same_room() {
+    let waits = async {
+        // Nothing is allocated while the attempts wait for their connections.
+        let budget = Rc::new(MemoryBudget::new(LIMIT, || 0));
+        let (sender, mut receiver) = unbounded_channel();
+        (0..20).for_each(|_| reserve_tenth(&budget, &sender));
+        let mut admitted = take_admitted(&mut receiver).await;
+        // Attempts may use 0.7 of the capacity.
+        assert_eq!(admitted.len(), 7);
+        // One attempt ends before it has a connection, and another allocates what it has reserved.
+        drop(admitted.pop());
+        let claim = admitted.pop().and_then(MemoryReservation::allocate);
+        let further = take_admitted(&mut receiver).await;
+        assert_eq!(further.len(), 2);
+        drop((admitted, further, claim));
+        drop(take_admitted(&mut receiver).await);
+        drop(take_admitted(&mut receiver).await);
+        assert_eq!((budget.reserved(), budget.claimed()), (0, 0));
+    };
+    LocalSet::new().run_until(waits).await;
+}
