A connection to a server that keeps the map of many fields is not kept while memory is low

Cause: the HTTP library keeps the map of the last head on a connection for the next one, some 50 KB with 240 fields; the check for large buffers went by the bytes that had passed, some 2.4 KB for such a head. Evidence: with crowds in series and servers that take 0.4 s, 8,011K beside what requests held in the second crowd. Change: the fields count towards it, as they do on connections of clients since accounts are kept. What else is beside the requests is looked for next.

--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -4,6 +4,7 @@
 use super::request_body::RequestBody;
 use super::write_progress::WriteProgress;
 use crate::body::{byte_count, short_length};
+use crate::headers::map_bytes;
 use crate::memory::{MemoryBudget, MemoryClaim, MemoryUse};
 use crate::tcp::{pending, ObservedStream, Pending, SharedStream};
 use bytes::Bytes;
@@ -104,6 +105,7 @@
         mut poll_driver: impl FnMut(&mut Option<Pin<Box<ConnectionDriver>>>, &mut Context<'_>),
     ) -> Result<Response<Incoming>, Outcome> {
         self.progress.start_request(body_bytes);
+        self.progress.count_head(map_bytes(request.headers()));
         let mut response = pin!(self.sender.send_request(request));
         let driver = &mut self.driver;
         let progress = &self.progress;
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -3,10 +3,10 @@
 pub mod attempt_control;
 pub(crate) mod connection;
 pub mod connection_limits;
-pub(crate) mod exchange;
+pub mod exchange;
 pub mod pool;
 mod receive;
-pub(crate) mod request_body;
+pub mod request_body;
 pub mod response;
 pub(crate) mod response_stream;
 pub mod write_progress;
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -25,8 +25,6 @@
 
 /// Maximum length of a response head, and of the HTTP library's buffer in each direction, in bytes.
 const BUFFER_MAX: usize = 32 << 10;
-/// Bytes of a request and its response above which the HTTP library's buffers have grown.
-const LARGE_EXCHANGE_BYTES: usize = 8 << 10;
 /// Maximum number of idle connections that are closed at once because others wait for memory.
 const MAX_MEMORY_EVICTIONS: usize = 8;
 /// Fraction of the servers' idle timeout after which this side closes an idle connection, so that
@@ -218,7 +216,7 @@
     pub(crate) fn release(&self, mut connection: UpstreamConnection) {
         let mut cx = Context::from_waker(Waker::noop());
         connection.claim = None;
-        if self.memory().is_low() && connection.progress.exchange_bytes() > LARGE_EXCHANGE_BYTES {
+        if self.memory().is_low() && connection.progress.has_large_buffers() {
             // An idle connection would keep the buffers.
             return;
         }
--- a/crates/proxy/src/upstream/write_progress.rs
+++ b/crates/proxy/src/upstream/write_progress.rs
@@ -9,6 +9,9 @@
 /// The end of a message head (RFC 9112 2.1).
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
+/// Bytes of a request and its response above which the HTTP library's buffers have grown.
+const LARGE_EXCHANGE_BYTES: usize = 8 << 10;
+
 /// Observes the exchanges on a connection: how much of the request the kernel has accepted, and when
 /// parts of a response arrived. A request whose last byte was never written can't have run.
 #[derive(Debug, Default)]
@@ -26,7 +29,8 @@
     is_body_admitted: Cell<bool>,
     /// Whether a part of the response has waited for memory on this side.
     was_paused: Cell<bool>,
-    /// Bytes of the current request and its response that have been written and read.
+    /// Bytes of the current request and its response that have been written and read, and of the
+    /// fields of the request.
     exchange_bytes: Cell<usize>,
 }
 
@@ -54,9 +58,16 @@
         self.was_paused.take()
     }
 
-    /// Returns the bytes of the last request and its response that were written and read.
-    pub(crate) fn exchange_bytes(&self) -> usize {
-        self.exchange_bytes.get()
+    /// Counts the memory of the fields of the request's head, in bytes: the HTTP library keeps their
+    /// map for the next message.
+    pub fn count_head(&self, bytes: usize) {
+        self.exchange_bytes.set(self.exchange_bytes.get().saturating_add(bytes));
+    }
+
+    /// Returns whether the last request and its response have left large buffers.
+    #[must_use]
+    pub fn has_large_buffers(&self) -> bool {
+        self.exchange_bytes.get() > LARGE_EXCHANGE_BYTES
     }
 
     /// Returns whether the server may have received the complete request.
