A health check that was not sent counts against no server

Change: Unused is not recorded; requests that wait for the check's report are looked at as before. Result: in the new test a server got none of 60 requests after ten such checks before, and gets some now.

--- a/crates/balancer/src/balancer/reports.rs
+++ b/crates/balancer/src/balancer/reports.rs
@@ -21,6 +21,8 @@
         let is_ok = outcome == Outcome::Ok;
         match (report, self.servers.index_of(id)) {
             (Some(report), Some(index)) if is_ok => self.on_report(index, report),
+            // A check that was not sent says nothing about the server.
+            _ if outcome == Outcome::Unused => {}
             (_, Some(index)) if !is_ok => {
                 let is_ejected = self.servers[index].health.record_failed_probe(self.now);
                 self.exclude_if_ejected(index, is_ejected);
--- a/crates/balancer/tests/ejection.rs
+++ b/crates/balancer/tests/ejection.rs
@@ -156,3 +156,31 @@
     // After the ejection, requests of the class are sent to the server again.
     assert!(count_sends_to_server(&mut instance, SECOND + 4 * SECOND, 0) > 0);
 }
+
+/// Returns the number of 60 requests that are sent to a server after ten checks of it ended so.
+fn sends_after_checks(outcome: Outcome) -> usize {
+    const CHECKED: ServerId = 2;
+    let mut instance = TestBalancer::with_servers(settings(), 0..6);
+    for number in 0..10 {
+        let now = SECOND + number * MILLISECOND;
+        let checked = Event::Probed { server: CHECKED, outcome, elapsed: 1, report: None };
+        instance.handle(now, checked);
+    }
+    let sends = (0..60).map(|number| {
+        let id = format!("r{number}");
+        let now = SECOND + (20 + number * 5) * MILLISECOND;
+        let actions = instance.handle(now, request(&id, 0, 2 * SECOND));
+        let servers = sent_to(&actions);
+        servers.iter().for_each(|server| {
+            instance.handle(now + 1, attempt_ended(&id, 0, *server, Outcome::Ok, true));
+        });
+        servers.iter().filter(|server| **server == CHECKED).count()
+    });
+    sends.sum()
+}
+
+#[test]
+fn health_checks_that_were_not_sent_eject_no_server() {
+    assert_eq!(sends_after_checks(Outcome::ConnectFailed), 0);
+    assert!(sends_after_checks(Outcome::Unused) > 0);
+}
