A closing connection keeps no read buffer while it waits for its client

Need: 700 clients that leave at once have 700 connections closing for up to a second, each with a buffer of 4 KiB that nobody had asked for. Change: the buffer is on the stack, between two waits.

--- a/crates/proxy/src/tcp.rs
+++ b/crates/proxy/src/tcp.rs
@@ -192,8 +192,6 @@
         return;
     }
     let deadline = Instant::now() + LINGER_TIMEOUT;
-    // On the heap: an array would enlarge the future, which lives as long as the connection.
-    let mut scratch = vec![0; LINGER_BUFFER_BYTES];
     let mut remaining_bytes = MAX_LINGER_BYTES;
     while remaining_bytes > 0 {
         let readable = poll_fn(|cx| stream.borrow().poll_read_ready(cx));
@@ -201,6 +199,8 @@
             Ok(Ok(())) => {}
             _ => return,
         }
+        // Not kept across a wait: many connections may be closing at once.
+        let mut scratch = [0; LINGER_BUFFER_BYTES];
         match stream.borrow().try_read(&mut scratch) {
             Ok(0) => return,
             Ok(count) => remaining_bytes = remaining_bytes.saturating_sub(count),
