Health checks reserve memory, and give way when requests need it

Cause: two checks a request were sent without asking for memory, each with a task, a connection and its buffers: with crowds of 900 behind health checks what was allocated beside requests rose to 8,011K. Change: a check reserves its memory as an attempt does, without waiting; if there is none it is not sent (Unused), and the request goes on after its wait for reports. The new test fails without the change.

--- a/crates/proxy/src/memory/account.rs
+++ b/crates/proxy/src/memory/account.rs
@@ -74,6 +74,20 @@
         bytes: usize,
     ) -> MemoryReservation {
         self.budget.admit(memory_use, bytes).await;
+        self.reserve_admitted(bytes)
+    }
+
+    /// Reserves `bytes` more bytes if they are below the threshold of their use.
+    pub fn try_reserve(
+        self: &Rc<Self>,
+        memory_use: MemoryUse,
+        bytes: usize,
+    ) -> Option<MemoryReservation> {
+        let has_room = self.budget.is_below_threshold(memory_use, bytes);
+        has_room.then(|| self.reserve_admitted(bytes))
+    }
+
+    fn reserve_admitted(self: &Rc<Self>, bytes: usize) -> MemoryReservation {
         self.budget.reserved.add(bytes);
         MemoryReservation(Some(self.claim(bytes)))
     }
--- a/crates/proxy/src/memory/admission.rs
+++ b/crates/proxy/src/memory/admission.rs
@@ -134,7 +134,7 @@
 
     /// Returns whether `bytes` more bytes leave what is allocated and reserved below the threshold of
     /// their use.
-    fn is_below_threshold(&self, memory_use: MemoryUse, bytes: usize) -> bool {
+    pub(super) fn is_below_threshold(&self, memory_use: MemoryUse, bytes: usize) -> bool {
         let threshold = self.threshold(memory_use.admitted_fraction());
         self.allocated().saturating_add(self.reserved()).saturating_add(bytes) <= threshold
     }
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -64,7 +64,7 @@
     pub(crate) stream: SharedStream,
     pub(crate) progress: Rc<WriteProgress>,
     pub(crate) memory: Rc<MemoryBudget>,
-    /// The memory of the exchange; `None` without one, and for requests of this process.
+    /// The memory of the exchange; `None` without one.
     pub(crate) claim: Option<MemoryClaim>,
     pub(crate) target: Target,
     pub(crate) key: PoolKey,
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -207,16 +207,21 @@
     }
 
     /// Sends a request of this process and returns the status and the short body of the response.
-    /// The caller limits the time.
+    /// The caller limits the time. Does not wait for memory, which requests of clients need more.
     ///
     /// # Errors
-    /// The outcome, if no complete response arrived.
+    /// The outcome, if no complete response arrived; [`Outcome::Unused`] if there is no memory for
+    /// the request, which says nothing about the server.
     pub async fn get(
         &self,
         target: Target,
         request: Request<RequestBody>,
     ) -> Result<(StatusCode, Bytes), Outcome> {
+        let memory = MemoryAccount::open(self.memory());
+        let reservation = memory.try_reserve(MemoryUse::Attempt, attempt_bytes(&request));
+        let reservation = reservation.ok_or(Outcome::Unused)?;
         let mut connection = self.acquire(target, ConnectionBounds::default()).await?;
+        connection.claim = reservation.allocate();
         let (head, body) = connection.send(request, false).await?.into_parts();
         let body = connection.read_body(body, SMALL_BODY_MAX).await?;
         self.release(connection);
--- a/crates/proxy/tests/upstream_memory.rs
+++ b/crates/proxy/tests/upstream_memory.rs
@@ -1,4 +1,5 @@
-//! Which connections to servers are kept after an exchange, while memory is low.
+//! Exchanges with servers while memory is low: which connections are kept, and which requests give
+//! way.
 
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::Request;
@@ -24,6 +25,7 @@
 use tokio::time::Instant;
 
 const LIMIT: usize = 64 << 20;
+const SERVER: ServerId = 1;
 const TIMEOUT: Duration = Duration::from_secs(5);
 
 thread_local! {
@@ -66,21 +68,29 @@
     request
 }
 
-/// Sends three requests one after another; returns the number of connections that they took.
-async fn connections_of_three_requests(fields: usize) -> usize {
-    let connections = Arc::new(AtomicUsize::new(0));
-    let address = start_server(&connections);
-    let budget = ResourceBudget::new(1024, MemoryBudget::new(LIMIT, || ALLOCATED.get()));
+/// Creates the upstream side of a cluster with one server.
+fn upstream(budget: &ResourceBudget, address: SocketAddr) -> Rc<Upstream> {
     let endpoints = Endpoints::default();
-    let server = ServerId::from(1u32);
-    endpoints.insert(server, Endpoint { address, takes_requests: true });
+    endpoints.insert(SERVER, Endpoint { address, takes_requests: true });
     let settings = UpstreamSettings {
         connect_timeout: TIMEOUT,
         idle_timeout: TIMEOUT,
         protocol: UpstreamProtocol::Platform,
         limits: ClusterLimits::default(),
     };
-    let upstream = Upstream::new(ConnectionPool::new(&budget), endpoints, settings);
+    Upstream::new(ConnectionPool::new(budget), endpoints, settings)
+}
+
+fn budget() -> ResourceBudget {
+    ALLOCATED.set(0);
+    ResourceBudget::new(1024, MemoryBudget::new(LIMIT, || ALLOCATED.get()))
+}
+
+/// Sends three requests one after another; returns the number of connections that they took.
+async fn connections_of_three_requests(fields: usize) -> usize {
+    let connections = Arc::new(AtomicUsize::new(0));
+    let budget = budget();
+    let upstream = upstream(&budget, start_server(&connections));
     // A third of the capacity: low, and far from the thresholds of attempts.
     ALLOCATED.set(budget.memory.capacity() / 3);
     for _ in 0..3 {
@@ -94,12 +104,11 @@
             connect_timeout: None,
             max_idle: None,
         };
-        let target = upstream.target(server).unwrap();
+        let target = upstream.target(SERVER).unwrap();
         let control = AttemptControl::new(None);
         let result = upstream.attempt(target, message, deadlines, &control).await;
         assert_eq!(result.outcome, Outcome::Ok);
     }
-    ALLOCATED.set(0);
     assert_eq!((budget.memory.claimed(), budget.memory.reserved()), (0, 0));
     connections.load(Ordering::Relaxed)
 }
@@ -112,3 +121,21 @@
     };
     LocalSet::new().run_until(counts).await;
 }
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_health_check_gives_way_while_requests_need_the_memory() {
+    let checks = async {
+        let connections = Arc::new(AtomicUsize::new(0));
+        let budget = budget();
+        let upstream = upstream(&budget, start_server(&connections));
+        let target = upstream.target(SERVER).unwrap();
+        // More than attempts may use.
+        ALLOCATED.set(budget.memory.capacity());
+        assert_eq!(upstream.get(target, request(0)).await, Err(Outcome::Unused));
+        assert_eq!(connections.load(Ordering::Relaxed), 0);
+        ALLOCATED.set(0);
+        assert!(upstream.get(target, request(0)).await.is_ok());
+        assert_eq!((budget.memory.claimed(), budget.memory.reserved()), (0, 0));
+    };
+    LocalSet::new().run_until(checks).await;
+}
