--- a/crates/mintshelf/tests/memory_limit/after_traffic.rs
+++ b/crates/mintshelf/tests/memory_limit/after_traffic.rs
@@ -1,6 +1,6 @@
 //! Crowds one after another, against a process that has served ordinary traffic before.
 
-use crate::crowds::{fast_crowd, post, slow_crowd, FIELDS};
+use crate::crowds::{fast_crowd, get, post, slow_crowd, FIELDS};
 use crate::limits::Limits;
 use crate::play::{lock_crowds, play};
 use crate::proxies::{start_checking_sidecar, start_daemon, Proxy};
@@ -59,20 +59,13 @@
 /// The crowds that are played one after another.
 fn crowds() -> Vec<CrowdPlan> {
     vec![
-        fast_crowd(|number| get_with_fields(&format!("g{number}"))),
+        fast_crowd(|number| get(&format!("g{number}"), FIELDS)),
         slow_crowd(|number| post(&format!("u{number}"), FIELDS, 20_000, 500)),
         fast_crowd(|number| post(&format!("e{number}"), FIELDS, 0, 0)),
         slow_crowd(|number| post(&format!("p{number}"), FIELDS, 60_000, 0)),
     ]
 }
 
-/// A complete GET with as many short fields as are allowed.
-fn get_with_fields(id: &str) -> Vec<u8> {
-    let head = String::from_utf8(request("safe", id)).unwrap();
-    let fields: String = (0..FIELDS).map(|number| format!("x{number}: 1\r\n")).collect();
-    head.replace("\r\n\r\n", &format!("\r\n{fields}\r\n")).into_bytes()
-}
-
 #[test]
 fn crowds_after_short_responses_stay_within_the_memory_limit() {
     let _one_crowd = lock_crowds();
--- a/crates/mintshelf/tests/memory_limit/crowds.rs
+++ b/crates/mintshelf/tests/memory_limit/crowds.rs
@@ -1,6 +1,6 @@
 //! What the clients of a crowd send, and the servers that they wait for.
 
-use mintshelf_test_support::{CrowdPlan, Message, Peer};
+use mintshelf_test_support::{request, CrowdPlan, Message, Peer};
 use std::io::Write;
 use std::sync::Arc;
 use std::thread;
@@ -16,6 +16,13 @@
     (0..count).map(|number| format!("x{number}: 1\r\n")).collect()
 }
 
+/// Returns a complete GET with this many further fields.
+pub(crate) fn get(id: &str, fields: usize) -> Vec<u8> {
+    let head = String::from_utf8(request("safe", id)).unwrap();
+    let fields = short_fields(fields);
+    head.replace("\r\n\r\n", &format!("\r\n{fields}\r\n")).into_bytes()
+}
+
 /// Returns a POST with this many further fields, whose body lacks `missing` of the bytes that its
 /// head states.
 pub(crate) fn post(id: &str, fields: usize, body: usize, missing: usize) -> Vec<u8> {
--- a/crates/mintshelf/tests/memory_limit/main.rs
+++ b/crates/mintshelf/tests/memory_limit/main.rs
@@ -6,5 +6,6 @@
 mod one_crowd;
 mod play;
 mod proxies;
+mod seeded;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_mintshelf");
