--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -6,16 +6,13 @@
 pub use super::phase::{ClientTimeouts, Phase};
 pub use super::request_memory::RequestMemory;
 use super::scanned_head::ScannedHead;
+pub use super::upgrade::Upgrade;
 use crate::memory::{MemoryAccount, MemoryUse};
 use crate::tcp::{is_closed_by_peer, is_reset, pending, Pending, SharedStream, TrafficObserver};
 use crate::upstream::attempt_control::ResponseRecipient;
-use bytes::Bytes;
 use hyper::Response;
 use std::cell::{Cell, RefCell};
-use std::fmt;
-use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -72,17 +69,6 @@
     pub upgrade: RefCell<Option<Upgrade>>,
 }
 
-/// Takes over a connection after its 101 response, with the bytes that were read after the request.
-pub struct Upgrade(pub Box<UpgradeHandler>);
-
-type UpgradeHandler = dyn FnOnce(SharedStream, Bytes) -> Pin<Box<dyn Future<Output = ()>>>;
-
-impl fmt::Debug for Upgrade {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("Upgrade")
-    }
-}
-
 impl Client {
     /// Creates the state of a connection that was just accepted, after at most `accept_wait` in the
     /// accept queue.
--- a/crates/proxy/src/client/mod.rs
+++ b/crates/proxy/src/client/mod.rs
@@ -12,3 +12,4 @@
 mod request_memory;
 pub mod scanned_head;
 mod serve;
+mod upgrade;
--- a/crates/proxy/src/upstream/exchange.rs
+++ b/crates/proxy/src/upstream/exchange.rs
@@ -124,16 +124,17 @@
     ) -> AttemptResult {
         let AttemptMessage { request, memory } = message;
         let handshake = request.extensions().get::<Arc<HandshakeRequest>>().cloned();
+        let reserve = memory.reserve(MemoryUse::Attempt, attempt_bytes(&request));
         let admitted_connection = async {
-            let reservation = memory.reserve(MemoryUse::Attempt, attempt_bytes(&request)).await;
+            let reservation = reserve.await;
             progress.is_admitted.set(true);
             let connection = self.connection_for(target, handshake.is_some(), deadlines);
-            // In a box: the future of an attempt that waits for memory is to be small.
+            // Boxed, so that the future of an attempt that waits for memory is small.
             Box::pin(connection).await.map(|connection| (connection, reservation))
         };
         let connection = tokio::select! {
             biased;
-            () = control.client_disconnected() => return Outcome::Unused.into(),
+            () = control.client_disconnected() => Err(Outcome::Unused),
             connection = admitted_connection => connection,
         };
         let (mut connection, reservation) = match connection {
@@ -151,10 +152,7 @@
         }
         progress.follow(connection.progress.clone());
         connection.claim = reservation.allocate();
-        let mut request = Request::clone(&request);
-        if self.protocol == UpstreamProtocol::Platform {
-            set_remaining_time(&mut request, deadlines.end);
-        }
+        let request = self.copy_request(&request, deadlines.end);
         match handshake {
             Some(handshake) => {
                 Box::pin(self.exchange_handshake(connection, request, &handshake)).await
@@ -163,6 +161,16 @@
         }
     }
 
+    /// Copies a request for the server, which is told on the platform how much time is left until
+    /// `end`.
+    fn copy_request(&self, request: &Request<RequestBody>, end: Instant) -> Request<RequestBody> {
+        let mut copy = request.clone();
+        if self.protocol == UpstreamProtocol::Platform {
+            set_remaining_time(&mut copy, end);
+        }
+        copy
+    }
+
     async fn connection_for(
         &self,
         target: Target,
--- a/crates/test-support/src/kept_clients.rs
+++ b/crates/test-support/src/keep_alive_clients.rs
@@ -11,7 +11,7 @@
 
 /// The requests of clients that keep their connections.
 #[derive(Clone)]
-pub struct KeptClientsPlan {
+pub struct KeepAlivePlan {
     /// Number of clients.
     pub clients: usize,
     /// Number of requests that each client sends.
@@ -23,7 +23,7 @@
 }
 
 /// Idle connections whose clients have had their responses; dropping it closes them.
-pub struct KeptClients {
+pub struct KeepAliveClients {
     connections: Vec<TcpStream>,
     responses: usize,
 }
@@ -34,13 +34,13 @@
     responses: usize,
 }
 
-impl KeptClients {
+impl KeepAliveClients {
     /// Runs the clients until each has sent its requests.
     ///
     /// # Panics
     /// A client panicked.
     #[must_use]
-    pub fn run(address: SocketAddr, plan: &KeptClientsPlan) -> Self {
+    pub fn run(address: SocketAddr, plan: &KeepAlivePlan) -> Self {
         let (sender, receiver): (Sender<Finished>, Receiver<Finished>) = channel();
         for client in 0..plan.clients {
             let (plan, sender) = (plan.clone(), sender.clone());
@@ -54,7 +54,7 @@
         assert_eq!(finished.len(), plan.clients, "a client panicked");
         let responses = finished.iter().map(|client| client.responses).sum();
         let connections = finished.into_iter().filter_map(|client| client.stream).collect();
-        KeptClients { connections, responses }
+        KeepAliveClients { connections, responses }
     }
 
     /// Number of responses that the clients have received.
@@ -71,7 +71,7 @@
 }
 
 /// Sends the requests of one client on one connection.
-fn run_client(address: SocketAddr, client: usize, plan: &KeptClientsPlan) -> Finished {
+fn run_client(address: SocketAddr, client: usize, plan: &KeepAlivePlan) -> Finished {
     let mut finished = Finished { stream: connect(address), responses: 0 };
     for number in 0..plan.requests {
         let Some(stream) = &mut finished.stream else { break };
