--- a/review/stand-ins-2/src/harness.rs
+++ b/review/stand-ins-2/src/harness.rs
@@ -27,13 +27,6 @@
     pid > 1 && unsafe { kill(pid, number) == 0 }
 }
 
-/// Returns whether a process exists and is no zombie.
-pub fn is_running(pid: u32) -> bool {
-    let Ok(stat) = std::fs::read_to_string(format!("/proc/{pid}/stat")) else { return false };
-    let state = stat.rsplit(')').next().and_then(|rest| rest.split_whitespace().next());
-    !matches!(state, Some("Z" | "X") | None)
-}
-
 /// One run of a case.
 pub struct Run {
     started: Instant,
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -6,12 +6,8 @@
 mod hidden_request;
 mod http;
 mod keyed_split;
-mod late_copy;
-mod lease_guard;
 mod platform;
-mod relay;
 mod reload_deadline;
-mod reload_removed;
 
 use harness::Run;
 use std::path::PathBuf;
@@ -22,12 +18,6 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    // The work of a command under a lease, started by the case `lease-guard`.
-    if let [_, name, file, count] = arguments.as_slice() {
-        if name == "work" {
-            return lease_guard::work(file, count.parse().unwrap_or(0));
-        }
-    }
     let [_, case, folder] = arguments.as_slice() else {
         eprintln!("usage: review-2 CASE FOLDER");
         exit(2);
@@ -40,12 +30,9 @@
         }
     };
     let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match case.as_str() {
-        "lease-guard" => lease_guard::play(&run),
         "reload-deadline" => reload_deadline::play(&run),
-        "reload-removed" => reload_removed::play(&run),
         "hidden-request" => hidden_request::play(&run),
         "keyed-split" => keyed_split::play(&run),
-        "late-copy" => late_copy::play(&run),
         "cut-response" => cut_response::play(&run),
         _ => Err(format!("no case {case}")),
     }));
