--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -6,6 +6,7 @@
 mod hidden_request;
 mod http;
 mod keyed_split;
+mod limit_advice;
 mod platform;
 mod reload_deadline;
 
@@ -33,6 +34,7 @@
         "reload-deadline" => reload_deadline::play(&run),
         "hidden-request" => hidden_request::play(&run),
         "keyed-split" => keyed_split::play(&run),
+        "limit-advice" => limit_advice::play(&run),
         "cut-response" => cut_response::play(&run),
         _ => Err(format!("no case {case}")),
     }));
