What is left of an unread request body is never taken for a request

Cause: an exchange counted as ended with its response, whatever was left of its request. The phase became Idle, and an idle connection with grown buffers is taken apart and served again; after SIGTERM, what was found behind a response that closes was served as a crossing request. The HTTP library skips what one read returns and else closes, which no response said: the next request of the client was not answered. Ruled out: the head scanner, which knew that it was within a body.

Change: an exchange ends when its response is written and its body read to its end. Chunks are kept only if all have arrived; a client that may wait for 100 Continue gets `close`. Why this works: a connection is idle, taken apart or served again in the shutdown only where the next byte is known to begin a request.

--- a/crates/proxy/src/client/closing.rs
+++ b/crates/proxy/src/client/closing.rs
@@ -92,7 +92,7 @@
 
 async fn wait_for_forced_eviction(client: &Client) {
     client.forced_eviction.cancelled().await;
-    if !client.is_unfinished() && !client.is_response_stalled() {
+    if !client.may_be_cut_off() && !client.is_response_stalled() {
         // The request has become complete in the meantime, and gets its response.
         client.close_after_response();
         pending::<()>().await;
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -1,16 +1,21 @@
 //! The state of one client connection that other modules use: its phase and its timeouts.
 
+use super::exchange::Exchange;
 use super::handler::ResponseBody;
 use super::head_scanner::RequestHeadScanner;
 use super::phase::EvictionPriority;
 pub use super::phase::{ClientTimeouts, Phase};
+use super::request_body::ClientBody;
 pub use super::request_memory::RequestMemory;
 use super::scanned_head::ScannedHead;
+use super::unread_body::RestHandling;
 pub use super::upgrade::Upgrade;
 use crate::memory::{MemoryAccount, MemoryUse};
 use crate::tcp::{is_closed_by_peer, is_reset, pending, Pending, SharedStream, TrafficObserver};
 use crate::upstream::attempt_control::ResponseRecipient;
-use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderValue};
+use hyper::{Request, Response, StatusCode};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -44,6 +49,10 @@
     timeouts: ClientTimeouts,
     /// Scans the request heads that arrive on the connection, ahead of the HTTP library.
     scanner: RefCell<RequestHeadScanner>,
+    /// The current request and its response.
+    exchange: RefCell<Rc<Exchange>>,
+    /// Notified when a request body has been dropped before its end.
+    pub(super) body_dropped: Notify,
     /// Whether the HTTP library has read the complete response body.
     pub is_response_read: Cell<bool>,
     /// Whether at least one byte has arrived from the client.
@@ -92,6 +101,8 @@
             first_receive: timeouts.receive.saturating_sub(accept_wait).max(min_receive),
             timeouts,
             scanner: RefCell::default(),
+            exchange: RefCell::default(),
+            body_dropped: Notify::new(),
             is_response_read: Cell::new(false),
             has_sent: Cell::new(false),
             accept_wait: Cell::new(accept_wait),
@@ -147,10 +158,16 @@
         match self.phase.get() {
             Phase::New => self.has_sent.get(),
             Phase::Receiving => true,
-            Phase::Closing | Phase::Idle | Phase::Busy => false,
+            Phase::Closing | Phase::Idle | Phase::Discarding | Phase::Busy => false,
         }
     }
 
+    /// Returns whether the connection may be closed, although more of a request is expected, because
+    /// others wait for memory or for a connection.
+    pub(super) fn may_be_cut_off(&self) -> bool {
+        self.is_unfinished() || self.phase.get() == Phase::Discarding
+    }
+
     /// Returns whether the client has not read its response for so long that its connection may be
     /// closed because others wait for memory or for a connection.
     pub(super) fn is_response_stalled(&self) -> bool {
@@ -172,12 +189,46 @@
         self.closes_after_response.get() || self.eviction.is_cancelled()
     }
 
-    /// Records that the HTTP library has delivered a request. One that was pipelined had arrived
-    /// while the connection was busy.
-    pub(super) fn begin_request(&self) {
+    /// Begins the exchange of a request that the HTTP library has delivered, and returns the request
+    /// for its handler. A pipelined request had arrived while the connection was busy.
+    pub(super) fn begin_request(
+        self: &Rc<Self>,
+        request: Request<Incoming>,
+    ) -> Request<ClientBody> {
+        if self.phase.get() == Phase::Discarding {
+            // The HTTP library has read the last body to its end, or there would be no next request.
+            self.end_exchange();
+        }
         if self.phase.get() == Phase::Idle {
             self.enter(Phase::Receiving);
         }
+        let exchange = Rc::new(Exchange::begin(&request));
+        self.exchange.replace(exchange.clone());
+        request.map(|body| ClientBody::new(body, exchange, self.clone()))
+    }
+
+    /// Returns the current exchange.
+    pub(super) fn exchange(&self) -> Rc<Exchange> {
+        self.exchange.borrow().clone()
+    }
+
+    /// Decides whether the connection is closed behind a response that is about to be written, and
+    /// states it in the response. This is the only place that decides what becomes of a request body
+    /// that was not read.
+    pub(super) fn decide_close(&self, response: &mut Response<ResponseBody>, is_draining: bool) {
+        let exchange = self.exchange();
+        let is_upgrade = response.status() == StatusCode::SWITCHING_PROTOCOLS;
+        let stated = response.headers().get(header::CONNECTION);
+        if stated.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close")) {
+            // The handler does not trust what follows the request.
+            exchange.close_behind_response();
+        }
+        let rest = exchange.decide_rest(!self.is_in_body());
+        let closes = is_draining || self.closes_after_response() || rest == RestHandling::Close;
+        if closes && !is_upgrade {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
     }
 
     /// Records that a response begins to be written.
@@ -187,9 +238,32 @@
         self.responding_since.set(Some(Instant::now()));
     }
 
+    /// Records that the response has been written. The exchange lasts until its body is read.
+    fn finish_response(&self) {
+        self.responding_since.set(None);
+        let exchange = self.exchange();
+        exchange.finish_response();
+        if exchange.awaits_body_end() {
+            self.enter(Phase::Discarding);
+        } else {
+            self.end_exchange();
+        }
+    }
+
+    /// Ends an exchange whose body has been read to its end, if its response is written too.
+    pub(super) fn end_exchange_behind_body(&self, exchange: &Rc<Exchange>) {
+        let is_current = Rc::ptr_eq(&self.exchange.borrow(), exchange);
+        if is_current && self.phase.get() == Phase::Discarding {
+            self.end_exchange();
+            if self.holds_idle_buffers() {
+                // The HTTP library has read the end of the body already, and may not be polled again.
+                self.buffers_wanted.notify_one();
+            }
+        }
+    }
+
     fn end_exchange(&self) {
         self.enter(Phase::Idle);
-        self.responding_since.set(None);
         self.memory.end_exchange();
     }
 
@@ -201,7 +275,7 @@
             Phase::New if self.has_sent.get() => Some(EvictionPriority::FirstRequestStarted),
             Phase::New => Some(EvictionPriority::Silent),
             Phase::Idle => Some(EvictionPriority::Idle),
-            Phase::Receiving | Phase::Busy => None,
+            Phase::Discarding | Phase::Receiving | Phase::Busy => None,
         }
     }
 
@@ -216,6 +290,12 @@
         self.scanner.borrow().pending_heads().next().is_some()
     }
 
+    /// Returns whether the body of the current request has not arrived completely, or its end is
+    /// unknown.
+    pub(super) fn is_in_body(&self) -> bool {
+        self.scanner.borrow().is_in_body()
+    }
+
     /// Returns whether a body on this connection has a chunked encoding in which two recipients may
     /// find different ends.
     pub(crate) fn is_body_ambiguous(&self) -> bool {
@@ -236,7 +316,7 @@
     pub fn phase_deadline(&self) -> Instant {
         let timeout = match self.phase.get() {
             Phase::New => self.first_receive,
-            Phase::Closing | Phase::Receiving => self.timeouts.receive,
+            Phase::Closing | Phase::Discarding | Phase::Receiving => self.timeouts.receive,
             Phase::Idle => self.timeouts.idle,
             Phase::Busy => self.timeouts.busy,
         };
@@ -295,7 +375,9 @@
             Phase::Closing | Phase::Idle => MemoryUse::RequestStart,
             Phase::New if !self.has_sent.get() => MemoryUse::RequestStart,
             _ if self.memory.is_body_admitted() => MemoryUse::RequestStart,
-            Phase::New | Phase::Receiving | Phase::Busy => MemoryUse::RequestGrowth,
+            Phase::New | Phase::Discarding | Phase::Receiving | Phase::Busy => {
+                MemoryUse::RequestGrowth
+            }
         }
     }
 
@@ -305,7 +387,7 @@
 
     fn flushed(&self) {
         if self.is_response_read.replace(false) {
-            self.end_exchange();
+            self.finish_response();
         }
     }
 }
--- /dev/null
+++ b/crates/proxy/src/client/exchange.rs
@@ -0,0 +1,143 @@
+//! The current exchange of a client connection: one request with its body, and the response.
+//!
+//! The exchange ends when the response is written and the body has been read to its end. Only then
+//! do the bytes that follow on the connection belong to another request.
+
+use super::unread_body::{RestHandling, UnreadBody};
+use hyper::body::{Body, Incoming};
+use hyper::header::{self, HeaderMap};
+use hyper::Request;
+use std::cell::{Cell, RefCell};
+
+/// The state of one exchange, shared by the connection and the body of the request.
+#[derive(Debug)]
+pub(super) struct Exchange {
+    /// Whether the body has been read to its end.
+    is_body_read: Cell<bool>,
+    /// Whether a read of the body has been tried, which sends a `100 Continue` that is expected.
+    is_body_started: Cell<bool>,
+    expects_continue: bool,
+    /// Number of bytes of the body that have not been read; `None` without a stated length.
+    remaining_bytes: Cell<Option<u64>>,
+    /// The body, if its reader has dropped it before its end.
+    dropped_body: RefCell<Option<Incoming>>,
+    /// What becomes of a body that is not read; `None` before the response begins.
+    rest_handling: Cell<Option<RestHandling>>,
+    /// Whether the response has been written.
+    is_response_written: Cell<bool>,
+}
+
+impl Default for Exchange {
+    /// Creates an exchange before the first request: there is nothing to read.
+    fn default() -> Self {
+        Exchange {
+            is_body_read: Cell::new(true),
+            is_body_started: Cell::new(false),
+            expects_continue: false,
+            remaining_bytes: Cell::new(Some(0)),
+            dropped_body: RefCell::default(),
+            rest_handling: Cell::default(),
+            is_response_written: Cell::new(false),
+        }
+    }
+}
+
+impl Exchange {
+    /// Begins the exchange of a request that the HTTP library has delivered.
+    pub(super) fn begin(request: &Request<Incoming>) -> Self {
+        Exchange {
+            is_body_read: Cell::new(request.body().is_end_stream()),
+            expects_continue: expects_continue(request.headers()),
+            remaining_bytes: Cell::new(request.body().size_hint().exact()),
+            ..Exchange::default()
+        }
+    }
+
+    /// Records that a read of the body has been tried.
+    pub(super) fn start_body(&self) {
+        self.is_body_started.set(true);
+    }
+
+    /// Records that a part of the body has been read.
+    pub(super) fn count_body(&self, body: &Incoming) {
+        self.remaining_bytes.set(body.size_hint().exact());
+    }
+
+    /// Returns whether a part of the body with a stated length has not been read.
+    pub(super) fn is_cut_off(&self) -> bool {
+        self.remaining_bytes.get().is_some_and(|bytes| bytes > 0)
+    }
+
+    /// Records that the body has been read to its end.
+    pub(super) fn finish_body(&self) {
+        self.is_body_read.set(true);
+    }
+
+    /// Returns whether the body has been read to its end.
+    pub(super) fn is_body_read(&self) -> bool {
+        self.is_body_read.get()
+    }
+
+    /// Keeps a body that its reader has dropped before its end. Without it, the HTTP library closes
+    /// the connection or discards an unstated part of the body.
+    pub(super) fn keep_dropped_body(&self, body: Incoming) {
+        if self.rest_handling.get() != Some(RestHandling::Close) {
+            self.dropped_body.replace(Some(body));
+        }
+    }
+
+    /// Takes the body that is to be discarded, if there is one.
+    pub(super) fn take_discarded_body(&self) -> Option<Incoming> {
+        let is_discarded = self.rest_handling.get() == Some(RestHandling::Discard);
+        is_discarded.then(|| self.dropped_body.take()).flatten()
+    }
+
+    /// Decides, when the response begins, what becomes of a body that has not been read to its end;
+    /// `has_arrived` is whether all of it has arrived.
+    pub(super) fn decide_rest(&self, has_arrived: bool) -> RestHandling {
+        if self.rest_handling.get() == Some(RestHandling::Close) {
+            return RestHandling::Close;
+        }
+        let unread = UnreadBody {
+            remaining_bytes: self.remaining_bytes.get(),
+            has_arrived,
+            awaits_continue: self.expects_continue && !self.is_body_started.get(),
+        };
+        let handling = if self.is_body_read() { RestHandling::Discard } else { unread.handling() };
+        self.set_rest(handling);
+        handling
+    }
+
+    /// Closes the connection behind the response, whatever follows the request.
+    pub(super) fn close_behind_response(&self) {
+        self.set_rest(RestHandling::Close);
+    }
+
+    fn set_rest(&self, handling: RestHandling) {
+        self.rest_handling.set(Some(handling));
+        if handling == RestHandling::Close {
+            self.dropped_body.take();
+        }
+    }
+
+    /// Records that the response has been written.
+    pub(super) fn finish_response(&self) {
+        self.is_response_written.set(true);
+    }
+
+    /// Returns whether the response is written while the body is not read to its end.
+    pub(super) fn awaits_body_end(&self) -> bool {
+        self.is_response_written.get() && !self.is_body_read()
+    }
+
+    /// Returns whether the bytes behind the request may be served as another request.
+    pub(super) fn may_be_followed(&self) -> bool {
+        self.is_body_read() && self.rest_handling.get() != Some(RestHandling::Close)
+    }
+}
+
+/// Returns whether a client waits for a `100 Continue`, as the HTTP library has it.
+fn expects_continue(headers: &HeaderMap) -> bool {
+    let expect = headers.get(header::EXPECT);
+    expect.is_some_and(|expect| expect.as_bytes().eq_ignore_ascii_case(b"100-continue"))
+}
--- a/crates/proxy/src/client/handler.rs
+++ b/crates/proxy/src/client/handler.rs
@@ -1,11 +1,12 @@
 //! The interface of request handlers, and the bodies of their responses.
 
 use super::connection::Client;
+use super::request_body::ClientBody;
 use super::scanned_head::ScannedHead;
 use crate::body::{FramePoll, MessageBody};
 use crate::upstream::response_stream::ResponseStream;
 use bytes::Bytes;
-use hyper::body::{Body, Incoming, SizeHint};
+use hyper::body::{Body, SizeHint};
 use hyper::{Request, Response};
 use std::future::Future;
 use std::io;
@@ -23,8 +24,9 @@
     pub client: Rc<Client>,
     /// What the head scanner found in the head of the request.
     pub head: ScannedHead,
-    /// The request. Its body is in memory only as far as the handler has read it.
-    pub request: Request<Incoming>,
+    /// The request. Its body is in memory only as far as the handler has read it. What the handler
+    /// leaves unread is the connection's concern.
+    pub request: Request<ClientBody>,
     /// Whether the shutdown was announced before the request arrived.
     pub is_draining: bool,
 }
--- a/crates/proxy/src/client/head_scanner.rs
+++ b/crates/proxy/src/client/head_scanner.rs
@@ -173,6 +173,14 @@
         self.heads.iter()
     }
 
+    /// Returns whether the rest of the message that was last delivered by the HTTP library has not
+    /// arrived yet, or its end is unknown.
+    #[must_use]
+    pub fn is_in_body(&self) -> bool {
+        let is_at_head = matches!(self.position, Position::RequestLine | Position::Fields);
+        self.heads.is_empty() && !is_at_head
+    }
+
     /// Returns whether a body has a chunked encoding in which two recipients may find different
     /// ends.
     #[must_use]
--- a/crates/proxy/src/client/mod.rs
+++ b/crates/proxy/src/client/mod.rs
@@ -3,13 +3,16 @@
 mod accept_queue;
 mod closing;
 pub mod connection;
+mod exchange;
 pub mod handler;
 pub mod head_scanner;
 mod line_buffer;
 pub mod listener;
 mod phase;
 pub mod registry;
+pub mod request_body;
 mod request_memory;
 pub mod scanned_head;
 mod serve;
+pub mod unread_body;
 mod upgrade;
--- a/crates/proxy/src/client/phase.rs
+++ b/crates/proxy/src/client/phase.rs
@@ -7,8 +7,8 @@
 pub struct ClientTimeouts {
     /// A request must be complete this long after its first byte, and the first request of a
     /// connection this long after the connection was made, time in the accept queue included.
-    /// Protects against clients that send nothing, stop in the middle of a request or never end
-    /// it. A legitimate client that takes longer to send a request is disconnected too.
+    /// The rest of a body that is discarded must arrive this long after the response. Protects
+    /// against clients that send nothing, stop in the middle of a request or never end it. A legitimate client that takes longer to send a request is disconnected too.
     pub receive: Duration,
     /// Maximum time between a response and the first byte of the next request, after which the
     /// connection is closed.
@@ -31,6 +31,8 @@
     New,
     /// The last response is written, and no byte of the next request has arrived.
     Idle,
+    /// The last response is written, and the rest of its request's body is read and discarded.
+    Discarding,
     /// Part of a later request has arrived.
     Receiving,
     /// A request is complete, and its response is not written yet.
--- a/crates/proxy/src/client/registry.rs
+++ b/crates/proxy/src/client/registry.rs
@@ -75,7 +75,7 @@
         idle.for_each(|client| client.buffers_wanted.notify_one());
         let now = Instant::now();
         let age = |client: &Client| now.saturating_duration_since(client.phase_since());
-        let unfinished = holding.iter().filter(|client| client.is_unfinished());
+        let unfinished = holding.iter().filter(|client| client.may_be_cut_off());
         let old = unfinished.filter(|client| age(client) >= MIN_UNFINISHED_AGE);
         evict_oldest(old.map(|client| (client.phase_since(), *client)).collect());
         drop(holding);
--- a/crates/proxy/src/client/serve.rs
+++ b/crates/proxy/src/client/serve.rs
@@ -7,15 +7,15 @@
 use super::connection::{Client, ClientTimeouts, Phase};
 use super::handler::{ClientRequest, RequestHandler, ResponseBody, TrackedBody};
 use super::registry::Clients;
+use super::request_body::{discard_delivered, discard_unread_bodies};
 use super::request_memory::RequestMemory;
 use crate::memory::{MemoryBudget, MemoryUse};
 use crate::tcp::{close_gracefully, pending, ObservedStream, Pending, SharedStream};
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1::{Builder, Connection};
 use hyper::service::{service_fn, Service};
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
 use std::convert::Infallible;
@@ -95,7 +95,12 @@
             let next = Box::pin(self.serve_next(&stream, &client, read_ahead)).await;
             client.memory.release_buffers();
             match next {
-                NextStep::ServeAgain(bytes) => read_ahead = bytes,
+                NextStep::ServeAgain(bytes) => {
+                    let is_in_body = client.is_in_body();
+                    debug!(peer = %client.peer, read_ahead = bytes.len(), is_in_body,
+                        "serving client connection again");
+                    read_ahead = bytes;
+                }
                 NextStep::Close { mode, reason } => {
                     debug!(peer = %client.peer, ?mode, ?reason, "closing client connection");
                     reject_unread(&stream, &client, reason);
@@ -170,6 +175,7 @@
                 let reason = CloseReason::ResetByClient;
                 return NextStep::Close { mode: CloseMode::Immediate, reason };
             }
+            never = discard_unread_bodies(client) => match never {},
         };
         match result {
             ConnectionStep::Idle => NextStep::ServeAgain(connection.into_parts().read_buf),
@@ -202,14 +208,15 @@
         }
     }
 
-    fn next_step(&self, read_ahead: Bytes, stream: &SharedStream, client: &Client) -> NextStep {
+    fn next_step(&self, read_ahead: Bytes, stream: &SharedStream, client: &Rc<Client>) -> NextStep {
         if client.upgrade.borrow().is_some() {
             return NextStep::Upgrade(read_ahead);
         }
+        discard_delivered(client);
         // The client may have sent another request before it could read `Connection: close`. That
         // request was received and has to get a response.
         let has_more = !read_ahead.is_empty() || pending(stream) == Pending::Bytes;
-        if has_more && self.draining.is_cancelled() {
+        if has_more && self.draining.is_cancelled() && client.exchange().may_be_followed() {
             NextStep::ServeAgain(read_ahead)
         } else {
             NextStep::Close { mode: CloseMode::Graceful, reason: CloseReason::Ended }
@@ -222,7 +229,7 @@
         request: Request<Incoming>,
     ) -> Result<Response<TrackedBody>, Infallible> {
         let is_draining = self.draining.is_cancelled();
-        client.begin_request();
+        let request = client.begin_request(request);
         client.memory.count_head(request.headers());
         // Taken here, for every request, so that each is judged by its own head.
         let head = client.next_head();
@@ -230,12 +237,7 @@
         let mut response = self.handler.clone().respond(request).await;
         // Checked again, as the shutdown may have been announced while the request waited. Without
         // `close` its client would reuse a connection that is about to be closed.
-        let is_upgrade = response.status() == StatusCode::SWITCHING_PROTOCOLS;
-        let closes = self.draining.is_cancelled() || client.closes_after_response();
-        if closes && !is_upgrade {
-            let close = HeaderValue::from_static("close");
-            response.headers_mut().insert(header::CONNECTION, close);
-        }
+        client.decide_close(&mut response, self.draining.is_cancelled());
         client.begin_response(&response);
         Ok(response.map(|body: ResponseBody| TrackedBody::new(body, client)))
     }
--- a/crates/proxy/src/gateway/classify.rs
+++ b/crates/proxy/src/gateway/classify.rs
@@ -3,9 +3,9 @@
 use super::config::{ClusterHandle, ServingConfig};
 use super::rejection::Rejection;
 use crate::client::connection::Client;
+use crate::client::request_body::ClientBody;
 use crate::client::scanned_head::ScannedHead;
 use crate::headers::cookie_pairs;
-use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap};
 use hyper::http::uri::Authority;
 use hyper::{Method, Request, StatusCode, Version};
@@ -30,7 +30,10 @@
     ///
     /// # Errors
     /// The rejection, if the request is ambiguous or not supported by a gateway.
-    pub(crate) fn read(head: ScannedHead, request: &Request<Incoming>) -> Result<Self, Rejection> {
+    pub(crate) fn read(
+        head: ScannedHead,
+        request: &Request<ClientBody>,
+    ) -> Result<Self, Rejection> {
         if let Some(ambiguity) = head.ambiguity {
             return Err(Rejection::ambiguous_framing(ambiguity.reason()));
         }
@@ -73,7 +76,7 @@
         serving: &'a ServingConfig,
         target: &RequestTarget,
         client: &Client,
-        request: &Request<Incoming>,
+        request: &Request<ClientBody>,
     ) -> Result<Self, Rejection> {
         let RequestTarget { host, path_and_query } = target;
         let view = RequestView::new(host, path_and_query, request.method(), request.headers());
@@ -112,7 +115,7 @@
         route: &Route,
         forward: &'a Forward,
         balance_key: &[u8],
-        request: &Request<Incoming>,
+        request: &Request<ClientBody>,
     ) -> Result<Self, Rejection> {
         let cluster_name = forward.split.pick(balance_key);
         let cluster = serving.clusters.get(cluster_name).ok_or_else(no_cluster)?;
@@ -158,7 +161,7 @@
 /// Returns the host that a request is for: the host of the target, or else that of the single Host
 /// header (RFC 9112 3.2). A request in which they differ is rejected, as servers choose
 /// differently.
-fn host_of(request: &Request<Incoming>) -> Result<String, Rejection> {
+fn host_of(request: &Request<ClientBody>) -> Result<String, Rejection> {
     let header_host = host_header(request.headers())?;
     let target_host = request.uri().authority().map(Authority::as_str);
     let host = match (target_host, header_host) {
--- a/crates/proxy/src/gateway/forward.rs
+++ b/crates/proxy/src/gateway/forward.rs
@@ -14,6 +14,7 @@
 use crate::budget::BodyBudgets;
 use crate::client::connection::{Client, Phase};
 use crate::client::handler::ResponseBody;
+use crate::client::request_body::ClientBody;
 use crate::cluster::request::UpstreamRequest;
 use crate::headers::strip_for_next_hop;
 use crate::upstream::response::{UpgradedConnection, UpstreamBody, UpstreamResponse};
@@ -21,7 +22,7 @@
 use crate::websocket::registry::SocketRegistry;
 use crate::websocket::upgrade::PendingUpgrade;
 use bytes::Bytes;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, Uri, Version};
@@ -79,7 +80,7 @@
     pub(super) async fn forward(
         &self,
         context: ForwardContext<'_>,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
     ) -> Result<Response<ResponseBody>, Rejection> {
         let class = context.classify(&request)?;
         let tenant_permit = context.admit(&request)?;
@@ -101,7 +102,7 @@
         context: &ForwardContext<'_>,
         class: &ClusterClass<'_>,
         tenant_permit: Option<&TenantPermit>,
-        request: &Request<Incoming>,
+        request: &Request<ClientBody>,
     ) -> Result<Option<PendingUpgrade>, Rejection> {
         let Some(settings) = &context.forward.websocket else { return Ok(None) };
         if !handshake::is_upgrade_request(request.headers()) {
@@ -124,8 +125,8 @@
         &self,
         context: &ForwardContext<'_>,
         upgrade: Option<&PendingUpgrade>,
-        request: Request<Incoming>,
-    ) -> Result<(Parts, Incoming), Rejection> {
+        request: Request<ClientBody>,
+    ) -> Result<(Parts, ClientBody), Rejection> {
         let RequestTarget { host, path_and_query } = &context.target;
         let (mut head, body) = request.into_parts();
         head.extensions.clear();
@@ -227,11 +228,11 @@
 }
 
 impl<'a> ForwardContext<'a> {
-    fn classify(&self, request: &Request<Incoming>) -> Result<ClusterClass<'a>, Rejection> {
+    fn classify(&self, request: &Request<ClientBody>) -> Result<ClusterClass<'a>, Rejection> {
         ClusterClass::find(self.serving, self.route, self.forward, &self.balance_key, request)
     }
 
-    fn admit(&self, request: &Request<Incoming>) -> Result<Option<TenantPermit>, Rejection> {
+    fn admit(&self, request: &Request<ClientBody>) -> Result<Option<TenantPermit>, Rejection> {
         let Some(admission) = &self.serving.admission else { return Ok(None) };
         let listener = &self.serving.listener;
         let headers = request.headers();
@@ -241,7 +242,7 @@
     fn reserve_body(
         &self,
         tenant_permit: Option<&TenantPermit>,
-        body: &Incoming,
+        body: &ClientBody,
     ) -> Result<Option<BodyPermit>, Rejection> {
         let limits = self.serving.admission.as_ref().zip(tenant_permit);
         let Some((admission, permit)) = limits.filter(|_| !body.is_end_stream()) else {
--- a/crates/proxy/src/gateway/request_body.rs
+++ b/crates/proxy/src/gateway/request_body.rs
@@ -4,11 +4,12 @@
 use crate::body::{short_length, BufferedBody};
 use crate::budget::{acquire_bytes, BodyBudgets};
 use crate::client::connection::{Client, Phase};
+use crate::client::request_body::ClientBody;
 use crate::headers::BODY_MAX;
 use crate::memory::MemoryUse;
 use crate::upstream::request_body::{RequestBody, StreamedBody};
 use bytes::{Bytes, BytesMut};
-use hyper::body::{Body, Frame, Incoming};
+use hyper::body::{Body, Frame};
 use hyper::StatusCode;
 use mintshelf_time::SECOND;
 use std::future::poll_fn;
@@ -34,7 +35,7 @@
 
 impl BufferPlan {
     /// Returns the plan for an unread body.
-    pub(crate) fn of(body: &Incoming) -> Self {
+    pub(crate) fn of(body: &ClientBody) -> Self {
         let length = short_length(body);
         BufferPlan { is_short: length.is_some(), max_bytes: length.unwrap_or(BODY_MAX) }
     }
@@ -54,7 +55,7 @@
 pub(crate) async fn read_body(
     budgets: &BodyBudgets,
     client: &Client,
-    mut body: Incoming,
+    mut body: ClientBody,
 ) -> Result<BudgetedBody, Rejection> {
     if body.is_end_stream() {
         return Ok(BudgetedBody::default());
@@ -87,7 +88,7 @@
     is_complete: bool,
 }
 
-async fn read_start(plan: BufferPlan, body: &mut Incoming) -> Result<BodyStart, Rejection> {
+async fn read_start(plan: BufferPlan, body: &mut ClientBody) -> Result<BodyStart, Rejection> {
     let mut buffered = BytesMut::new();
     let mut is_complete = false;
     let deadline = Instant::now() + COMPLETION_WAIT;
--- a/crates/proxy/src/memory/holders.rs
+++ b/crates/proxy/src/memory/holders.rs
@@ -50,7 +50,7 @@
     fn of_phase(phase: Phase) -> Self {
         match phase {
             Phase::Idle | Phase::Closing => MemoryHolder::IdleConnections,
-            Phase::New | Phase::Receiving => MemoryHolder::UnfinishedRequests,
+            Phase::New | Phase::Discarding | Phase::Receiving => MemoryHolder::UnfinishedRequests,
             Phase::Busy => MemoryHolder::CompleteRequests,
         }
     }
--- a/crates/proxy/src/platform/handler.rs
+++ b/crates/proxy/src/platform/handler.rs
@@ -6,6 +6,7 @@
 use crate::budget::{BodyBudgets, ResourceBudget};
 use crate::client::connection::{Client, Phase};
 use crate::client::handler::{ClientRequest, RequestHandler, ResponseBody};
+use crate::client::request_body::ClientBody;
 use crate::client::scanned_head::ScannedHead;
 use crate::cluster::request::{RequestMetadata, RequestOutcome, UpstreamRequest};
 use crate::cluster::runtime::ClusterRuntime;
@@ -13,7 +14,6 @@
 use crate::loop_monitor::LoopMonitor;
 use crate::platform_protocol::{READY_PATH, TRANSACTION_ID};
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode, Version};
@@ -75,7 +75,7 @@
     async fn handle(
         &self,
         client: &Rc<Client>,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
         wait_before_read: Duration,
     ) -> Result<RequestOutcome, RejectedRequest> {
         let (mut head, mut body) = request.into_parts();
--- a/crates/proxy/src/platform/request_body.rs
+++ b/crates/proxy/src/platform/request_body.rs
@@ -4,11 +4,12 @@
 use crate::body::{byte_count, short_length, BufferedBody};
 use crate::budget::{acquire_bytes, BodyBudgets};
 use crate::client::connection::Client;
+use crate::client::request_body::ClientBody;
 use crate::headers::BODY_MAX;
 use crate::memory::MemoryUse;
 use crate::upstream::request_body::RequestBody;
 use bytes::Bytes;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use hyper::StatusCode;
 use mintshelf_time::Nanos;
 use std::future::poll_fn;
@@ -36,7 +37,7 @@
 pub(super) async fn read_body(
     budgets: &BodyBudgets,
     client: &Client,
-    body: &mut Incoming,
+    body: &mut ClientBody,
     client_timeout: Nanos,
 ) -> Result<BudgetedBody, RejectedRequest> {
     if body.size_hint().lower() > byte_count(BODY_MAX) {
--- a/crates/proxy/src/upstream/request_body.rs
+++ b/crates/proxy/src/upstream/request_body.rs
@@ -1,8 +1,9 @@
 //! Request bodies: buffered, or streamed from the client to a server.
 
 use crate::body::{byte_count, FramePoll, MessageBody};
+use crate::client::request_body::ClientBody;
 use bytes::Bytes;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Frame, SizeHint};
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
@@ -29,7 +30,7 @@
 /// The client's stream, shared by the attempts.
 struct BodySource {
     prefix_bytes: usize,
-    stream: RefCell<Incoming>,
+    stream: RefCell<ClientBody>,
     /// Whether frames have been taken from the stream; frames that were taken can't be sent again.
     is_consumed: Cell<bool>,
     is_finished: Cell<bool>,
@@ -39,7 +40,7 @@
 
 impl StreamedBody {
     /// Creates a body of which `prefix` has arrived; `stream` yields the remainder.
-    pub fn new(prefix: Bytes, stream: Incoming) -> Self {
+    pub fn new(prefix: Bytes, stream: ClientBody) -> Self {
         let source = BodySource {
             prefix_bytes: prefix.len(),
             stream: RefCell::new(stream),
--- a/crates/proxy/src/websocket/upgrade.rs
+++ b/crates/proxy/src/websocket/upgrade.rs
@@ -5,9 +5,9 @@
 use super::registry::{SlotReservation, SocketRegistry};
 use super::relay::{Reconnect, Relay, RetryAfter};
 use crate::client::connection::Upgrade;
+use crate::client::request_body::ClientBody;
 use crate::cluster::runtime::ClusterRuntime;
 use crate::upstream::response::UpgradedConnection;
-use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
 use hyper::Request;
@@ -53,7 +53,7 @@
     pub(crate) fn accept(
         registry: &Rc<SocketRegistry>,
         config: &Rc<WebSocket>,
-        request: &Request<Incoming>,
+        request: &Request<ClientBody>,
         owner: SlotOwner,
         is_draining: bool,
     ) -> Result<Self, UpgradeError> {
