A WebSocket handshake whose body has not arrived is rejected

A handshake with chunks of which the last had not come was sent to a server, which may respond with 101 before it has the body. The client's connection was handed over with the rest of the body on it, and that was taken for frames and relayed to the server.

Change: a handshake whose body is streamed is rejected with 400 and `Connection: close`, before a server is asked. A short body that has come completely is forwarded as before.

Test: websocket, a_handshake_whose_body_has_not_arrived_is_rejected.

--- a/crates/mintshelf/tests/websocket/handshakes.rs
+++ b/crates/mintshelf/tests/websocket/handshakes.rs
@@ -3,8 +3,8 @@
 use crate::echo_server::EchoServer;
 use crate::fixture::{default_setup, open, open_with, send_and_receive, Setup, Socket, PROGRAM};
 use crate::raw_client::{accept_of, handshake, ACCEPTED};
-use mintshelf_test_support::{get, Daemon, Message, Peer};
-use std::io::Write;
+use mintshelf_test_support::{get, read_to_close, Daemon, Message, Peer};
+use std::io::{Read, Write};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use tungstenite::Message as WsMessage;
@@ -62,6 +62,39 @@
     assert_eq!(socket.read().unwrap(), WsMessage::text("yo"));
 }
 
+// Guards against the rest of a handshake's body being relayed to the server as frames: its server
+// responds with a 101 at once.
+#[test]
+fn a_handshake_whose_body_has_not_arrived_is_rejected() {
+    let request_count = Arc::new(AtomicUsize::new(0));
+    let counted = request_count.clone();
+    let server = Peer::start(move |mut stream| {
+        let mut head = Vec::new();
+        let mut byte = [0];
+        while !head.ends_with(b"\r\n\r\n") && stream.read(&mut byte).is_ok_and(|count| count == 1) {
+            head.push(byte[0]);
+        }
+        counted.fetch_add(1, Ordering::SeqCst);
+        let request = Message { head: String::from_utf8(head).unwrap(), ..Message::default() };
+        let accept = accept_of(&request);
+        let _ = write!(stream, "{ACCEPTED}Sec-WebSocket-Accept: {accept}\r\n\r\n");
+        while stream.read(&mut [0; 4096]).is_ok_and(|count| count > 0) {}
+    });
+    let setup = default_setup();
+    let _daemon = Daemon::start(PROGRAM, setup.address, &setup.text(&[server.address]), &[]);
+    let started = b"x".repeat(80_000);
+    for (framing, body) in [
+        (("Content-Length", "100000"), &started[..]),
+        (("Transfer-Encoding", "chunked"), b"1\r\nx\r\n"),
+    ] {
+        let (response, mut stream) = handshake(setup.address, &[framing], body);
+        let answer = (response.status(), response.header("connection"));
+        assert_eq!(answer, (400, Some("close")), "{framing:?}");
+        assert!(read_to_close(&mut stream).is_empty());
+    }
+    assert_eq!(request_count.load(Ordering::SeqCst), 0, "no request was forwarded");
+}
+
 #[test]
 fn invalid_handshake_responses_open_no_socket() {
     let request_count = Arc::new(AtomicUsize::new(0));
--- a/crates/proxy/src/gateway/forward.rs
+++ b/crates/proxy/src/gateway/forward.rs
@@ -9,7 +9,7 @@
 use super::request_body::{read_body, BudgetedBody, BufferPlan};
 use super::request_ids::RequestIds;
 use super::respond::{client_response, served_response, upstream_failed, RequestPermits};
-use super::socket_rejections::upgrade_rejection;
+use super::socket_rejections::{handshake_body_rejection, upgrade_rejection};
 use crate::body::byte_count;
 use crate::budget::BodyBudgets;
 use crate::client::connection::{Client, Phase};
@@ -17,6 +17,7 @@
 use crate::client::request_body::ClientBody;
 use crate::cluster::request::UpstreamRequest;
 use crate::headers::strip_for_next_hop;
+use crate::upstream::request_body::RequestBody;
 use crate::upstream::response::{UpgradedConnection, UpstreamBody, UpstreamResponse};
 use crate::websocket::reconnect::ReconnectTarget;
 use crate::websocket::registry::SocketRegistry;
@@ -88,6 +89,9 @@
         let (head, body) = self.rewrite(&context, upgrade.as_ref(), request)?;
         let body_permit = context.reserve_body(tenant_permit.as_ref(), &body)?;
         let body = read_body(&self.body_budgets, context.client, body).await?;
+        if upgrade.is_some() && matches!(body.body, RequestBody::Streamed(_)) {
+            return Err(handshake_body_rejection());
+        }
         context.client.enter(Phase::Busy);
         let handshake = upgrade.map(|upgrade| SentHandshake { upgrade, head: head.clone() });
         let tenant = tenant_permit.as_ref().map(|permit| permit.tenant.clone());
--- a/crates/proxy/src/gateway/socket_rejections.rs
+++ b/crates/proxy/src/gateway/socket_rejections.rs
@@ -36,6 +36,13 @@
     }
 }
 
+/// Returns the rejection of a handshake whose body has not arrived: behind a 101, its rest would be
+/// taken for frames.
+pub(super) fn handshake_body_rejection() -> Rejection {
+    let reason = "a handshake has no body; no server was asked";
+    Rejection::new(StatusCode::BAD_REQUEST, "websocket", reason).closing_connection()
+}
+
 /// Returns the rejection of a handshake during the graceful shutdown.
 fn draining_rejection() -> Rejection {
     let reason = "the planned end has begun; no server was asked";
