The timeout of a connection's phase holds though a longer one was waited for

Seen by callers: a client that stopped within its second request kept its connection for 13 s at the sidecar, where bad clients are owed an error or a close within 3 s; one that stopped within a body that is discarded 45 s at the daemon, where docs/limits.md says head-timeout (2.5 s).

Cause: wait_for_timeout slept until the deadline of the phase in which it had begun, and looked at the current phase only then. From Busy (deadline and more) to Receiving or Discarding the deadline comes nearer.

Change: a phase that begins with an earlier deadline than the awaited one wakes the wait. Later deadlines do not, so that a request costs no further wake-up as a rule.

--- a/crates/mintshelf/tests/misbehaving_clients.rs
+++ b/crates/mintshelf/tests/misbehaving_clients.rs
@@ -5,6 +5,8 @@
     Message, Process as _, Server, Sidecar,
 };
 use std::io::Write;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_mintshelf");
 
@@ -47,6 +49,28 @@
     assert_eq!(requests[0].body, b"abc");
 }
 
+/// Maximum time that a client which stops within a request may wait for an error or a close.
+const STOPPED_REQUEST_MAX: Duration = Duration::from_secs(3);
+
+/// Waits until the other side has closed a connection whose client stays within a request.
+fn assert_closed_in_time(mut stream: TcpStream) {
+    let stopped_at = Instant::now();
+    let _rejection = read_to_close(&mut stream);
+    let waited = stopped_at.elapsed();
+    assert!(waited < STOPPED_REQUEST_MAX, "{waited:?}");
+}
+
+// Guards against a timeout that is only looked at when the longer one of the phase before has passed.
+#[test]
+fn a_client_that_stops_within_a_later_head_is_closed_in_time() {
+    let (_server, _discovery, sidecar) = start(|_, _| Some(ok_response("served")));
+    let mut stream = connect(sidecar.address).unwrap();
+    stream.write_all(&request("safe", "first")).unwrap();
+    assert_eq!(Message::read(&mut stream).unwrap().status(), 200);
+    stream.write_all(&request("safe", "second")[..20]).unwrap();
+    assert_closed_in_time(stream);
+}
+
 #[test]
 fn an_id_in_flight_is_not_sent_twice() {
     // The first request never gets a response.
--- a/crates/mintshelf/tests/unread_bodies.rs
+++ b/crates/mintshelf/tests/unread_bodies.rs
@@ -9,7 +9,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_mintshelf");
 /// Maximum number of bytes that are discarded to keep a connection, by `docs/limits.md`.
@@ -222,6 +222,29 @@
     assert_eq!(ids.iter().filter(|id| *id == NEXT).count(), served);
 }
 
+/// Maximum time that a client which stops within a body may keep its connection.
+const STOPPED_BODY_MAX: Duration = Duration::from_secs(3);
+
+// Guards against a client that stops within a body that is discarded, and stays.
+#[test]
+fn a_client_that_stops_within_a_discarded_body_is_closed_in_time() {
+    let server = Server::start(echo);
+    let early = early_server(Arc::default());
+    let daemon = start_daemon(&server, &early, free_address());
+    let sending = Sending::Late;
+    let upload = Upload { body_bytes: 9_000, is_chunked: false, expects_continue: false, sending };
+    let mut stream = connect(daemon.address).unwrap();
+    stream.write_all(&gateway_request("GET", "/devices/7", "first")).unwrap();
+    assert_eq!(Message::read(&mut stream).unwrap().status(), 200);
+    stream.write_all(&[upload.head("POST", "/gone"), b"x".repeat(100)].concat()).unwrap();
+    let response = Message::read(&mut stream).unwrap();
+    assert_eq!((response.status(), response.header("connection")), (410, None));
+    let stopped_at = Instant::now();
+    assert!(read_to_close(&mut stream).is_empty());
+    let waited = stopped_at.elapsed();
+    assert!(waited < STOPPED_BODY_MAX, "{waited:?}");
+}
+
 // The same where a server responds while the upload still goes on.
 #[test]
 fn no_part_of_an_upload_that_its_server_answers_early_is_run() {
--- a/crates/proxy/src/client/closing.rs
+++ b/crates/proxy/src/client/closing.rs
@@ -5,7 +5,7 @@
 use std::future::{pending, poll_fn};
 use std::task::Poll;
 use std::time::Duration;
-use tokio::time::{sleep, sleep_until, Instant};
+use tokio::time::{sleep, Instant};
 use tokio_util::sync::CancellationToken;
 
 /// Minimum time between the end of a response and the eviction of its connection, in which the
@@ -75,7 +75,7 @@
 async fn wait_for_timeout(client: &Client) {
     loop {
         if client.phase_deadline() > Instant::now() {
-            sleep_until(client.phase_deadline()).await;
+            client.wait_for_phase_deadline().await;
         } else if client.phase() == Phase::Idle && client.has_pending() {
             sleep(POLL_INTERVAL).await;
         } else {
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -21,7 +21,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{sleep_until, Instant};
 use tokio_util::sync::CancellationToken;
 
 /// Minimum wait in the accept queue that is counted as part of a request's time; shorter waits are
@@ -44,6 +44,10 @@
     phase: Cell<Phase>,
     /// The time when the phase began, or when bytes last passed if they restart the timeout.
     phase_since: Cell<Instant>,
+    /// The deadline at which [`Client::wait_for_phase_deadline`] completes; `None` before its first call.
+    awaited_deadline: Cell<Option<Instant>>,
+    /// Notified when a phase begins that ends before the awaited deadline.
+    deadline_advanced: Notify,
     /// Maximum time to receive the first request, counted from the accept.
     first_receive: Duration,
     timeouts: ClientTimeouts,
@@ -98,6 +102,8 @@
             peer,
             phase: Cell::new(Phase::New),
             phase_since: Cell::new(Instant::now()),
+            awaited_deadline: Cell::default(),
+            deadline_advanced: Notify::new(),
             first_receive: timeouts.receive.saturating_sub(accept_wait).max(min_receive),
             timeouts,
             scanner: RefCell::default(),
@@ -136,6 +142,19 @@
     pub fn enter(&self, phase: Phase) {
         self.phase.set(phase);
         self.phase_since.set(Instant::now());
+        if self.awaited_deadline.get().is_some_and(|awaited| self.phase_deadline() < awaited) {
+            self.deadline_advanced.notify_one();
+        }
+    }
+
+    /// Waits until the deadline of the current phase, or until a phase with an earlier one begins.
+    pub(super) async fn wait_for_phase_deadline(&self) {
+        let deadline = self.phase_deadline();
+        self.awaited_deadline.set(Some(deadline));
+        tokio::select! {
+            () = sleep_until(deadline) => {}
+            () = self.deadline_advanced.notified() => {}
+        }
     }
 
     /// Records that there is memory for a body of at most `bytes` bytes.
