The beginning of a request that was read ahead is no idle connection

When an exchange ended, its connection was Idle, whatever had been read behind it. The beginning of the next request, read together with the end of the one before, could wait for 20 s on the platform, be evicted as idle, or be closed without a response 0.45 s after SIGTERM, though it was read.

Change: the head scanner says whether a head has begun, and then the connection is Receiving.

--- a/crates/mintshelf/tests/misbehaving_clients.rs
+++ b/crates/mintshelf/tests/misbehaving_clients.rs
@@ -6,6 +6,7 @@
 };
 use std::io::Write;
 use std::net::TcpStream;
+use std::thread;
 use std::time::{Duration, Instant};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_mintshelf");
@@ -71,6 +72,37 @@
     assert_closed_in_time(stream);
 }
 
+// Guards against the beginning of a request that arrives with the one before it being taken for an
+// idle connection, which may stay for 20 s.
+#[test]
+fn a_client_that_stops_within_a_pipelined_head_is_closed_in_time() {
+    let (_server, _discovery, sidecar) = start(|_, _| Some(ok_response("served")));
+    let mut stream = connect(sidecar.address).unwrap();
+    let second = request("safe", "second");
+    stream.write_all(&[request("safe", "first"), second[..20].to_vec()].concat()).unwrap();
+    assert_eq!(Message::read(&mut stream).unwrap().status(), 200);
+    assert_closed_in_time(stream);
+}
+
+// The same during the shutdown, in which idle connections are closed.
+#[test]
+fn a_pipelined_head_that_is_read_in_part_is_served_during_the_shutdown() {
+    let (_server, _discovery, sidecar) = start(|_, _| {
+        thread::sleep(Duration::from_millis(200));
+        Some(ok_response("served"))
+    });
+    let mut stream = connect(sidecar.address).unwrap();
+    let second = request("safe", "second");
+    stream.write_all(&[request("safe", "first"), second[..20].to_vec()].concat()).unwrap();
+    assert_eq!(Message::read(&mut stream).unwrap().status(), 200);
+    sidecar.signal("TERM");
+    // Idle connections have been closed by then.
+    thread::sleep(Duration::from_millis(800));
+    stream.write_all(&second[20..]).unwrap();
+    let response = Message::read(&mut stream).expect("a response to the request that was read");
+    assert_eq!(response.status(), 200);
+}
+
 #[test]
 fn an_id_in_flight_is_not_sent_twice() {
     // The first request never gets a response.
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -282,7 +282,9 @@
     }
 
     fn end_exchange(&self) {
-        self.enter(Phase::Idle);
+        // The beginning of the next request may have been read together with the last one.
+        let is_in_head = self.scanner.borrow().is_in_head();
+        self.enter(if is_in_head { Phase::Receiving } else { Phase::Idle });
         self.memory.end_exchange();
     }
 
--- a/crates/proxy/src/client/head_scanner.rs
+++ b/crates/proxy/src/client/head_scanner.rs
@@ -181,6 +181,16 @@
         self.heads.is_empty() && !is_at_head
     }
 
+    /// Returns whether the last head that has begun to arrive is incomplete.
+    #[must_use]
+    pub fn is_in_head(&self) -> bool {
+        match self.position {
+            Position::RequestLine => self.line.has_begun(),
+            Position::Fields => true,
+            _ => false,
+        }
+    }
+
     /// Returns whether a body has a chunked encoding in which two recipients may find different
     /// ends.
     #[must_use]
--- a/crates/proxy/src/client/line_buffer.rs
+++ b/crates/proxy/src/client/line_buffer.rs
@@ -29,6 +29,11 @@
         self.is_truncated |= part.len() > capacity;
     }
 
+    /// Returns whether a byte of a line that is not empty has arrived.
+    pub(super) fn has_begun(&self) -> bool {
+        !self.bytes.is_empty() && self.bytes != b"\r"
+    }
+
     /// Returns the line after its line feed has arrived.
     pub(super) fn take_line(&mut self) -> Line {
         let mut bytes = std::mem::take(&mut self.bytes);
--- a/crates/proxy/tests/unread_body.rs
+++ b/crates/proxy/tests/unread_body.rs
@@ -39,6 +39,25 @@
     in_body
 }
 
+#[test]
+fn a_head_is_incomplete_from_its_first_byte_to_its_blank_line() {
+    let mut scanner = RequestHeadScanner::default();
+    // Blank lines before a request are none of it.
+    scanner.read(b"\r\n\r");
+    assert!(!scanner.is_in_head());
+    scanner.read(b"\n");
+    for byte in b"POST / HTTP/1.1\r\nContent-Length: 2\r\n\r" {
+        scanner.read(&[*byte]);
+        assert!(scanner.is_in_head());
+    }
+    scanner.read(b"\nG");
+    assert!(!scanner.is_in_head(), "the body");
+    scanner.read(b"E");
+    assert!(!scanner.is_in_head(), "the end of the body");
+    scanner.read(b"G");
+    assert!(scanner.is_in_head());
+}
+
 #[test]
 fn a_body_has_arrived_with_its_last_byte_and_not_before() {
     let length = "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\n";
