The phase of a client connection and its timeout have one owner

Change: PhaseTimer owns the phase, its start, the timeouts and the wait for the deadline; Client keeps its methods.

Result: all tests of mintshelf-proxy, and unread_bodies, misbehaving_clients, graceful_shutdown and request_framing pass (24 tests of the last four).

--- a/crates/proxy/src/client/closing.rs
+++ b/crates/proxy/src/client/closing.rs
@@ -74,8 +74,8 @@
 
 async fn wait_for_timeout(client: &Client) {
     loop {
-        if client.phase_deadline() > Instant::now() {
-            client.wait_for_phase_deadline().await;
+        if client.phase.deadline() > Instant::now() {
+            client.phase.wait_for_deadline().await;
         } else if client.phase() == Phase::Idle && client.has_pending() {
             sleep(POLL_INTERVAL).await;
         } else {
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -5,6 +5,7 @@
 use super::head_scanner::RequestHeadScanner;
 use super::phase::EvictionPriority;
 pub use super::phase::{ClientTimeouts, Phase};
+use super::phase_timer::PhaseTimer;
 use super::request_body::ClientBody;
 pub use super::request_memory::RequestMemory;
 use super::scanned_head::ScannedHead;
@@ -21,7 +22,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 /// Minimum wait in the accept queue that is counted as part of a request's time; shorter waits are
@@ -32,25 +33,15 @@
 /// because others wait for memory or for a connection.
 const MIN_RESPONSE_STALL: Duration = Duration::from_secs(1);
 
-/// Minimum time to receive a first request, however long its connection waited to be accepted.
-const MIN_FIRST_RECEIVE: Duration = Duration::from_millis(500);
-
 /// The state of one connection that is shared outside its task.
 #[derive(Debug)]
 pub struct Client {
     stream: SharedStream,
     /// The remote address of the connection.
     pub peer: SocketAddr,
-    phase: Cell<Phase>,
-    /// The time when the phase began, or when bytes last passed if they restart the timeout.
-    phase_since: Cell<Instant>,
-    /// The deadline at which [`Client::wait_for_phase_deadline`] completes; `None` before its first call.
-    awaited_deadline: Cell<Option<Instant>>,
-    /// Notified when a phase begins that ends before the awaited deadline.
-    deadline_advanced: Notify,
-    /// Maximum time to receive the first request, counted from the accept.
-    first_receive: Duration,
-    timeouts: ClientTimeouts,
+    pub(super) phase: PhaseTimer,
+    /// Whether a client that has closed its write side still gets its response.
+    allows_half_close: bool,
     /// Scans the request heads that arrive on the connection, ahead of the HTTP library.
     scanner: RefCell<RequestHeadScanner>,
     /// The current request and its response.
@@ -96,16 +87,11 @@
         let is_request_queued =
             accept_wait >= MIN_ACCEPT_WAIT && pending(&stream) == Pending::Bytes;
         let accept_wait = if is_request_queued { accept_wait } else { Duration::ZERO };
-        let min_receive = MIN_FIRST_RECEIVE.min(timeouts.receive);
         Client {
             stream,
             peer,
-            phase: Cell::new(Phase::New),
-            phase_since: Cell::new(Instant::now()),
-            awaited_deadline: Cell::default(),
-            deadline_advanced: Notify::new(),
-            first_receive: timeouts.receive.saturating_sub(accept_wait).max(min_receive),
-            timeouts,
+            phase: PhaseTimer::start(timeouts, accept_wait),
+            allows_half_close: timeouts.allows_half_close,
             scanner: RefCell::default(),
             exchange: RefCell::default(),
             body_dropped: Notify::new(),
@@ -130,7 +116,7 @@
     /// Returns the time when the phase began, or when bytes last passed if they restart the
     /// timeout.
     pub fn phase_since(&self) -> Instant {
-        self.phase_since.get()
+        self.phase.since()
     }
 
     /// Returns how long the first request may have waited in the accept queue; zero for later ones.
@@ -140,21 +126,7 @@
 
     /// Sets the phase of the connection and restarts the timeout.
     pub fn enter(&self, phase: Phase) {
-        self.phase.set(phase);
-        self.phase_since.set(Instant::now());
-        if self.awaited_deadline.get().is_some_and(|awaited| self.phase_deadline() < awaited) {
-            self.deadline_advanced.notify_one();
-        }
-    }
-
-    /// Waits until the deadline of the current phase, or until a phase with an earlier one begins.
-    pub(super) async fn wait_for_phase_deadline(&self) {
-        let deadline = self.phase_deadline();
-        self.awaited_deadline.set(Some(deadline));
-        tokio::select! {
-            () = sleep_until(deadline) => {}
-            () = self.deadline_advanced.notified() => {}
-        }
+        self.phase.enter(phase);
     }
 
     /// Records that there is memory for a body of at most `bytes` bytes.
@@ -332,30 +304,13 @@
     pub fn has_pending(&self) -> bool {
         pending(&self.stream) == Pending::Bytes
     }
-
-    /// Returns the time at which the current phase times out.
-    pub fn phase_deadline(&self) -> Instant {
-        let timeout = match self.phase.get() {
-            Phase::New => self.first_receive,
-            Phase::Closing | Phase::Discarding | Phase::Receiving => self.timeouts.receive,
-            Phase::Idle => self.timeouts.idle,
-            Phase::Busy => self.timeouts.busy,
-        };
-        self.phase_since.get() + timeout
-    }
-
-    fn record_progress(&self) {
-        if self.timeouts.is_extended_by_progress && self.phase.get() == Phase::Busy {
-            self.phase_since.set(Instant::now());
-        }
-    }
 }
 
 impl ResponseRecipient for Client {
     // Checked on the socket: the HTTP library does not detect the end of a connection behind bytes
     // that it has not delivered yet.
     fn has_disconnected(&self) -> bool {
-        if self.timeouts.allows_half_close {
+        if self.allows_half_close {
             is_reset(&self.stream)
         } else {
             is_closed_by_peer(&self.stream)
@@ -373,7 +328,7 @@
         if !bytes.is_empty() && self.phase.get() == Phase::Idle {
             self.enter(Phase::Receiving);
         }
-        self.record_progress();
+        self.phase.record_progress();
         self.scanner.borrow_mut().read(bytes);
     }
 
@@ -388,7 +343,7 @@
         if self.responding_since.get().is_some() {
             self.responding_since.set(Some(Instant::now()));
         }
-        self.record_progress();
+        self.phase.record_progress();
     }
 
     fn memory_use(&self) -> MemoryUse {
--- a/crates/proxy/src/client/mod.rs
+++ b/crates/proxy/src/client/mod.rs
@@ -9,6 +9,7 @@
 mod line_buffer;
 pub mod listener;
 mod phase;
+mod phase_timer;
 pub mod registry;
 pub mod request_body;
 mod request_memory;
