A client without chunks sees a reset behind a part of a response

Cause: serve_requests closes gracefully after each failure of the HTTP library, also that of a response body; and a connection that times out within a response is closed at once, which is an end of stream, too.

Change: the exchange knows whether the end of the connection ends the response, and whether it was written without a failure. If not, the close is a reset, whatever the reason. Responses with a length or chunks end as before.

Test: gateway, a_client_without_chunks_sees_a_reset_behind_a_part_of_a_response (a server that completes, breaks off, stalls; both versions).

--- a/crates/mintshelf/tests/gateway/failures.rs
+++ b/crates/mintshelf/tests/gateway/failures.rs
@@ -6,8 +6,11 @@
     Server,
 };
 use std::io::Write;
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
 
 #[test]
 fn a_safe_request_is_retried_at_another_server_and_an_unsafe_one_is_not() {
@@ -114,3 +117,63 @@
         assert_eq!(attempts.load(Ordering::Relaxed), number + 1);
     }
 }
+
+/// How a server ends a chunked response of which a part has been passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ResponseEnd {
+    Complete,
+    BreaksOff,
+    Stalls,
+}
+
+/// The way in which a connection ended for a client that has read to its end.
+fn read_to_end(stream: &mut TcpStream) -> (usize, std::io::Result<()>) {
+    let mut buffer = vec![0; 64 << 10];
+    let mut received = 0;
+    loop {
+        match read_some(stream, &mut buffer) {
+            Ok(0) => return (received, Ok(())),
+            Ok(count) => received += count,
+            Err(error) => return (received, Err(error)),
+        }
+    }
+}
+
+// Guards against `review/10`: a client with HTTP/1.0 took a part of a response for the whole, as its
+// connection ended in good order.
+#[test]
+fn a_client_without_chunks_sees_a_reset_behind_a_part_of_a_response() {
+    static DATA: [u8; 20_000] = [b'x'; 20_000];
+    for end in [ResponseEnd::Complete, ResponseEnd::BreaksOff, ResponseEnd::Stalls] {
+        let server = Peer::start(move |mut stream| {
+            let Some(_) = Message::read(&mut stream) else { return };
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            for _ in 0..2 {
+                let _ = write!(stream, "{:x}\r\n", DATA.len());
+                let _ = stream.write_all(&[&DATA[..], b"\r\n"].concat());
+                // The first part has been passed on by then.
+                thread::sleep(Duration::from_millis(200));
+            }
+            match end {
+                ResponseEnd::Complete => stream.write_all(b"0\r\n\r\n").unwrap(),
+                ResponseEnd::BreaksOff => return,
+                ResponseEnd::Stalls => {}
+            }
+            while read_some(&mut stream, &mut [0; 64]).is_ok_and(|count| count > 0) {}
+        });
+        let address = free_address();
+        let text = file(address, &[server.address], "");
+        let text = text.replace("[limits]\n", "[limits]\nstream-timeout = \"500ms\"\n");
+        let _daemon = Daemon::start(PROGRAM, address, &text, &[]);
+        let mut stream = connect(address).unwrap();
+        stream.write_all(b"GET / HTTP/1.0\r\nHost: h\r\n\r\n").unwrap();
+        let (received, result) = read_to_end(&mut stream);
+        let ended_in_order = result.is_ok();
+        assert_eq!(ended_in_order, end == ResponseEnd::Complete, "{end:?}: {result:?}");
+        assert!(!ended_in_order || received > 2 * DATA.len(), "{received} bytes");
+        // With chunks the end of the connection cannot be taken for the end of the response.
+        let mut stream = connect(address).unwrap();
+        stream.write_all(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").unwrap();
+        assert!(read_to_end(&mut stream).1.is_ok(), "{end:?}");
+    }
+}
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -14,7 +14,7 @@
 use crate::memory::{MemoryAccount, MemoryUse};
 use crate::tcp::{is_closed_by_peer, is_reset, pending, Pending, SharedStream, TrafficObserver};
 use crate::upstream::attempt_control::ResponseRecipient;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use std::cell::{Cell, RefCell};
@@ -225,6 +225,7 @@
     /// Records that a response begins to be written.
     pub(super) fn begin_response(&self, response: &Response<ResponseBody>) {
         self.memory.count_response(response);
+        self.exchange().begin_response(response.body().size_hint().exact().is_some());
         self.enter(Phase::Busy);
         self.responding_since.set(Some(Instant::now()));
     }
--- a/crates/proxy/src/client/exchange.rs
+++ b/crates/proxy/src/client/exchange.rs
@@ -6,7 +6,7 @@
 use super::unread_body::{RestHandling, UnreadBody};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap};
-use hyper::Request;
+use hyper::{Request, Version};
 use std::cell::{Cell, RefCell};
 
 /// The state of one exchange, shared by the connection and the body of the request.
@@ -23,6 +23,12 @@
     dropped_body: RefCell<Option<Incoming>>,
     /// What becomes of a body that is not read; `None` before the response begins.
     rest_handling: Cell<Option<RestHandling>>,
+    /// Whether the client speaks HTTP/1.0, which has no chunks.
+    is_http_10: bool,
+    /// Whether the end of the connection is the end of the response.
+    is_close_delimited: Cell<bool>,
+    /// Whether the body of the response has failed.
+    has_response_failed: Cell<bool>,
     /// Whether the response has been written.
     is_response_written: Cell<bool>,
 }
@@ -37,6 +43,9 @@
             remaining_bytes: Cell::new(Some(0)),
             dropped_body: RefCell::default(),
             rest_handling: Cell::default(),
+            is_http_10: false,
+            is_close_delimited: Cell::new(false),
+            has_response_failed: Cell::new(false),
             is_response_written: Cell::new(false),
         }
     }
@@ -49,6 +58,7 @@
             is_body_read: Cell::new(request.body().is_end_stream()),
             expects_continue: expects_continue(request.headers()),
             remaining_bytes: Cell::new(request.body().size_hint().exact()),
+            is_http_10: request.version() == Version::HTTP_10,
             ..Exchange::default()
         }
     }
@@ -120,6 +130,23 @@
         }
     }
 
+    /// Records that a response begins; `has_length` is whether it states its length.
+    pub(super) fn begin_response(&self, has_length: bool) {
+        self.is_close_delimited.set(self.is_http_10 && !has_length);
+    }
+
+    /// Records that the body of the response has failed.
+    pub(super) fn fail_response(&self) {
+        self.has_response_failed.set(true);
+    }
+
+    /// Returns whether an orderly end of the connection would pass off a part of the response as the
+    /// complete response (RFC 9112 8).
+    pub(super) fn is_response_truncated(&self) -> bool {
+        let is_complete = self.is_response_written.get() && !self.has_response_failed.get();
+        self.is_close_delimited.get() && !is_complete
+    }
+
     /// Records that the response has been written.
     pub(super) fn finish_response(&self) {
         self.is_response_written.set(true);
--- a/crates/proxy/src/client/handler.rs
+++ b/crates/proxy/src/client/handler.rs
@@ -12,7 +12,7 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::Context;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 /// The body of a response to a client: buffered, or streamed from a server.
@@ -77,7 +77,11 @@
     type Error = io::Error;
 
     fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> FramePoll {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if matches!(polled, Poll::Ready(Some(Err(_)))) {
+            self.client.exchange().fail_response();
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/proxy/src/client/serve.rs
+++ b/crates/proxy/src/client/serve.rs
@@ -10,7 +10,9 @@
 use super::request_body::{discard_delivered, discard_unread_bodies};
 use super::request_memory::RequestMemory;
 use crate::memory::{MemoryBudget, MemoryUse};
-use crate::tcp::{close_gracefully, pending, ObservedStream, Pending, SharedStream};
+use crate::tcp::{
+    close_gracefully, pending, reset_on_close, ObservedStream, Pending, SharedStream,
+};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::server::conn::http1::{Builder, Connection};
@@ -104,7 +106,9 @@
                 NextStep::Close { mode, reason } => {
                     debug!(peer = %client.peer, ?mode, ?reason, "closing client connection");
                     reject_unread(&stream, &client, reason);
-                    if mode == CloseMode::Graceful {
+                    if client.exchange().is_response_truncated() {
+                        reset_on_close(&stream);
+                    } else if mode == CloseMode::Graceful {
                         close(&stream, &client).await;
                     }
                     break;
--- a/crates/proxy/src/tcp.rs
+++ b/crates/proxy/src/tcp.rs
@@ -177,6 +177,12 @@
     peeked.is_err_and(|error| error.kind() != io::ErrorKind::WouldBlock)
 }
 
+/// Makes the close of a stream a reset, so that the peer does not take it for the end of a message.
+pub(crate) fn reset_on_close(stream: &SharedStream) {
+    // On failure the peer has reset the connection.
+    SockRef::from(&*stream.borrow()).set_linger(Some(Duration::ZERO)).ok();
+}
+
 /// Maximum time for the peer to close the connection after this side has closed its write side.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of bytes that are read and discarded while the peer's close is awaited.
