A reload that raises a deadline applies to client connections

Cause: the busy time of connections is the longest deadline of all classes and stream-timeout, but was calculated once at the start, with the limits; classes apply at a reload.

Change: all connections share the busy time, and a reload raises it, on open connections too. It is never lowered, as requests in flight keep their deadlines.

--- a/crates/mintshelf/src/daemon.rs
+++ b/crates/mintshelf/src/daemon.rs
@@ -157,6 +157,7 @@
         let mut sockets = self.listeners.borrow().open_new_sockets(&config)?;
         // Nothing fails after this point.
         self.clusters.borrow_mut().apply(&config);
+        self.acceptor.reload(&config, self.startup.limits.stream_timeout);
         let listeners = &mut *self.listeners.borrow_mut();
         listeners.close_removed(&config);
         let admission = self.apply_limits(&config);
--- a/crates/mintshelf/src/platform.rs
+++ b/crates/mintshelf/src/platform.rs
@@ -10,7 +10,7 @@
 use error::{PlatformError, CONFIG_VARIABLE};
 use mintshelf_config::platform::PlatformConfig;
 use mintshelf_proxy::budget::ResourceBudget;
-use mintshelf_proxy::client::connection::ClientTimeouts;
+use mintshelf_proxy::client::connection::{ClientTimeouts, SharedTimeout};
 use mintshelf_proxy::client::listener::ClientListener;
 use mintshelf_proxy::client::registry::Clients;
 use mintshelf_proxy::cluster::peers::PeerGossip;
@@ -113,7 +113,7 @@
     ClientTimeouts {
         receive: RECEIVE_TIMEOUT,
         idle: IDLE_TIMEOUT,
-        busy: longest_deadline + RESPONSE_READ_TIME,
+        busy: SharedTimeout::new(longest_deadline + RESPONSE_READ_TIME),
         is_extended_by_progress: false,
         allows_half_close: false,
     }
--- a/crates/mintshelf/tests/operator_file_reload.rs
+++ b/crates/mintshelf/tests/operator_file_reload.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_mintshelf");
 
@@ -246,3 +247,41 @@
 fn page(address: SocketAddr, path: &str) -> String {
     body(&send_request(address, &get(path)).unwrap())
 }
+
+// Guards against `review/9`: the connection of a request was closed without a response at the longest
+// deadline of the file before the reload.
+#[test]
+fn a_raised_deadline_applies_to_open_and_to_new_connections() {
+    const SERVICE_TIME: Duration = Duration::from_millis(1_500);
+    let server = Server::start(|request, _| {
+        if request.path() == "/slow" {
+            thread::sleep(SERVICE_TIME);
+        }
+        Some(ok_response("a"))
+    });
+    let address = free_address();
+    let text = |deadline: &str| {
+        format!(
+            "listen = \"{address}\"\n[limits]\nstream-timeout = \"400ms\"\n\
+             [classes.default]\neffect = \"unsafe\"\naim = \"100ms\"\ndeadline = \"{deadline}\"\n\
+             [clusters.all]\nendpoints = [\"{}\"]\n[[routes]]\ncluster = \"all\"\n",
+            server.address
+        )
+    };
+    let daemon = Daemon::start(PROGRAM, address, &text("400ms"), &[]);
+    let mut open = connect(address).unwrap();
+    open.write_all(&get("/")).unwrap();
+    assert_eq!(Message::read(&mut open).unwrap().status(), 200);
+    daemon.reload(&text("5s"));
+    for mut stream in [open, connect(address).unwrap()] {
+        stream.write_all(&get("/slow")).unwrap();
+        let response = Message::read(&mut stream).expect("a response within the raised deadline");
+        assert_eq!(response.status(), 200);
+    }
+    // A shorter deadline does not end the connections of requests that have the longer one.
+    let mut stream = connect(address).unwrap();
+    stream.write_all(&get("/slow")).unwrap();
+    wait_until("the request has arrived", || server.requests().len() == 4);
+    daemon.reload(&text("400ms"));
+    assert_eq!(Message::read(&mut stream).expect("a response").status(), 200);
+}
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -4,7 +4,7 @@
 use super::handler::ResponseBody;
 use super::head_scanner::RequestHeadScanner;
 use super::phase::EvictionPriority;
-pub use super::phase::{ClientTimeouts, Phase};
+pub use super::phase::{ClientTimeouts, Phase, SharedTimeout};
 use super::phase_timer::PhaseTimer;
 use super::request_body::ClientBody;
 pub use super::request_memory::RequestMemory;
@@ -90,8 +90,8 @@
         Client {
             stream,
             peer,
-            phase: PhaseTimer::start(timeouts, accept_wait),
             allows_half_close: timeouts.allows_half_close,
+            phase: PhaseTimer::start(timeouts, accept_wait),
             scanner: RefCell::default(),
             exchange: RefCell::default(),
             body_dropped: Notify::new(),
--- a/crates/proxy/src/client/phase.rs
+++ b/crates/proxy/src/client/phase.rs
@@ -1,9 +1,34 @@
 //! The phases of a client connection: how long each may take, and which is evicted first.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
+/// A timeout that all connections of a listener share, and that may be raised while they are open.
+#[derive(Debug, Clone)]
+pub struct SharedTimeout(Rc<Cell<Duration>>);
+
+impl SharedTimeout {
+    /// Creates a timeout.
+    #[must_use]
+    pub fn new(timeout: Duration) -> Self {
+        SharedTimeout(Rc::new(Cell::new(timeout)))
+    }
+
+    /// Returns the timeout.
+    #[must_use]
+    pub fn get(&self) -> Duration {
+        self.0.get()
+    }
+
+    /// Raises the timeout to at least `timeout`, also for connections that are waiting.
+    pub fn raise(&self, timeout: Duration) {
+        self.0.set(self.0.get().max(timeout));
+    }
+}
+
 /// Limits on the time that a connection may spend in each phase.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct ClientTimeouts {
     /// A request must be complete this long after its first byte, and the first request of a
     /// connection this long after the connection was made, time in the accept queue included.
@@ -14,7 +39,7 @@
     /// connection is closed.
     pub idle: Duration,
     /// Maximum time from the arrival of a complete request until its response is written.
-    pub busy: Duration,
+    pub busy: SharedTimeout,
     /// Whether bytes in either direction restart the `busy` timeout.
     pub is_extended_by_progress: bool,
     /// Whether a client that has closed its write side still gets its response. Otherwise it counts
--- a/crates/proxy/src/client/phase_timer.rs
+++ b/crates/proxy/src/client/phase_timer.rs
@@ -71,7 +71,7 @@
             Phase::New => self.first_receive,
             Phase::Closing | Phase::Discarding | Phase::Receiving => self.timeouts.receive,
             Phase::Idle => self.timeouts.idle,
-            Phase::Busy => self.timeouts.busy,
+            Phase::Busy => self.timeouts.busy.get(),
         };
         self.since.get() + timeout
     }
--- a/crates/proxy/src/client/serve.rs
+++ b/crates/proxy/src/client/serve.rs
@@ -88,7 +88,8 @@
             Pending::Nothing | Pending::End => Duration::ZERO,
         };
         let memory = RequestMemory::new(&self.memory);
-        let client = Client::new(stream.clone(), accepted.peer, self.timeouts, accept_wait, memory);
+        let client =
+            Client::new(stream.clone(), accepted.peer, self.timeouts.clone(), accept_wait, memory);
         let client = Rc::new(client);
         let number = self.clients.add(client.clone());
         let mut read_ahead = Bytes::new();
--- a/crates/proxy/tests/client_registry.rs
+++ b/crates/proxy/tests/client_registry.rs
@@ -1,6 +1,8 @@
 //! Which client's connection is evicted when the connection budget is used up.
 
-use mintshelf_proxy::client::connection::{Client, ClientTimeouts, Phase, RequestMemory};
+use mintshelf_proxy::client::connection::{
+    Client, ClientTimeouts, Phase, RequestMemory, SharedTimeout,
+};
 use mintshelf_proxy::client::registry::Clients;
 use mintshelf_proxy::memory::MemoryBudget;
 use std::cell::RefCell;
@@ -9,13 +11,15 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
-const TIMEOUTS: ClientTimeouts = ClientTimeouts {
-    receive: Duration::from_secs(5),
-    idle: Duration::from_secs(5),
-    busy: Duration::from_secs(5),
-    is_extended_by_progress: false,
-    allows_half_close: true,
-};
+fn timeouts() -> ClientTimeouts {
+    ClientTimeouts {
+        receive: Duration::from_secs(5),
+        idle: Duration::from_secs(5),
+        busy: SharedTimeout::new(Duration::from_secs(5)),
+        is_extended_by_progress: false,
+        allows_half_close: true,
+    }
+}
 
 /// Connects a client in `phase`; returns its end of the connection and the registered [`Client`].
 async fn connect(clients: &Clients, phase: Phase) -> (TcpStream, Rc<Client>) {
@@ -24,7 +28,7 @@
     let (stream, peer) = listener.accept().await.unwrap();
     let stream = Rc::new(RefCell::new(stream));
     let memory = RequestMemory::new(&Rc::new(MemoryBudget::new(64 << 20, || 0)));
-    let client = Rc::new(Client::new(stream, peer, TIMEOUTS, Duration::ZERO, memory));
+    let client = Rc::new(Client::new(stream, peer, timeouts(), Duration::ZERO, memory));
     client.enter(phase);
     clients.add(client.clone());
     // Eviction goes by age: no two phases may begin at the same instant.
