Clients that stop within discarded bodies give way to others

Change: a connection that discards a body may be evicted, after silent and before idle ones, also with unread bytes; its client has its response. While memory is low the response says `Connection: close` unless the body has arrived.

--- a/crates/mintshelf/tests/unread_bodies.rs
+++ b/crates/mintshelf/tests/unread_bodies.rs
@@ -245,6 +245,31 @@
     assert!(waited < STOPPED_BODY_MAX, "{waited:?}");
 }
 
+// Guards against clients that stop within such bodies using up all connections: they have their
+// responses, and give way to others.
+#[test]
+fn clients_that_stop_within_discarded_bodies_give_way_to_others() {
+    const SOCKETS: usize = 128;
+    let address = free_address();
+    let text = format!(
+        "listen = \"{address}\"\n[limits]\nsockets = {SOCKETS}\nhead-timeout = \"20s\"\n\
+         [[routes]]\nname = \"gone\"\nrespond = {{ status = 410 }}\n"
+    );
+    let daemon = Daemon::start(PROGRAM, address, &text, &[]);
+    let sending = Sending::Late;
+    let upload = Upload { body_bytes: 9_000, is_chunked: false, expects_continue: false, sending };
+    let request = [upload.head("POST", "/"), b"x".repeat(100)].concat();
+    let started_at = Instant::now();
+    let mut stopped = Vec::new();
+    for _ in 0..2 * SOCKETS {
+        let mut stream = connect(daemon.address).unwrap();
+        stream.write_all(&request).unwrap();
+        assert_eq!(Message::read(&mut stream).expect("a response").status(), 410);
+        stopped.push(stream);
+    }
+    assert!(started_at.elapsed() < Duration::from_secs(10), "{:?}", started_at.elapsed());
+}
+
 // The same where a server responds while the upload still goes on.
 #[test]
 fn no_part_of_an_upload_that_its_server_answers_early_is_run() {
--- a/crates/proxy/src/client/closing.rs
+++ b/crates/proxy/src/client/closing.rs
@@ -87,7 +87,7 @@
 async fn wait_for_eviction(client: &Client) {
     client.eviction.cancelled().await;
     // A request that has arrived in the meantime is served first.
-    wait_until_closable(client, |phase| phase <= Phase::Idle).await;
+    wait_until_closable(client, |phase| phase <= Phase::Discarding).await;
 }
 
 async fn wait_for_forced_eviction(client: &Client) {
@@ -106,9 +106,14 @@
 }
 
 /// Waits until a connection is in a phase in which it may be closed and has no unread bytes, which
-/// are served first.
+/// are served first unless they are discarded.
 async fn wait_until_closable(client: &Client, is_closable_in: impl Fn(Phase) -> bool) {
-    while !is_closable_in(client.phase()) || client.has_pending() {
+    loop {
+        let phase = client.phase();
+        let is_unread = phase != Phase::Discarding && client.has_pending();
+        if is_closable_in(phase) && !is_unread {
+            return;
+        }
         sleep(POLL_INTERVAL).await;
     }
 }
@@ -156,7 +161,7 @@
 pub(super) fn read_deadline(client: &Client) -> Instant {
     match client.phase() {
         Phase::New if client.eviction.is_cancelled() && !client.is_unfinished() => Instant::now(),
-        Phase::Idle => client.phase_since() + RESPONSE_READ_TIME,
+        Phase::Idle | Phase::Discarding => client.phase_since() + RESPONSE_READ_TIME,
         _ => Instant::now() + RESPONSE_READ_TIME,
     }
 }
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -214,7 +214,7 @@
             // The handler does not trust what follows the request.
             exchange.close_behind_response();
         }
-        let rest = exchange.decide_rest(!self.is_in_body());
+        let rest = exchange.decide_rest(!self.is_in_body(), self.memory.is_low());
         let closes = is_draining || self.closes_after_response() || rest == RestHandling::Close;
         if closes && !is_upgrade {
             let close = HeaderValue::from_static("close");
@@ -269,7 +269,8 @@
             Phase::New if self.has_sent.get() => Some(EvictionPriority::FirstRequestStarted),
             Phase::New => Some(EvictionPriority::Silent),
             Phase::Idle => Some(EvictionPriority::Idle),
-            Phase::Discarding | Phase::Receiving | Phase::Busy => None,
+            Phase::Discarding => Some(EvictionPriority::Discarding),
+            Phase::Receiving | Phase::Busy => None,
         }
     }
 
--- a/crates/proxy/src/client/exchange.rs
+++ b/crates/proxy/src/client/exchange.rs
@@ -103,8 +103,9 @@
     }
 
     /// Decides, when the response begins, what becomes of a body that has not been read to its end;
-    /// `has_arrived` is whether all of it has arrived.
-    pub(super) fn decide_rest(&self, has_arrived: bool) -> RestHandling {
+    /// `has_arrived` is whether all of it has arrived, `is_memory_low` whether the process economizes
+    /// on memory.
+    pub(super) fn decide_rest(&self, has_arrived: bool, is_memory_low: bool) -> RestHandling {
         if self.rest_handling.get() == Some(RestHandling::Close) {
             return RestHandling::Close;
         }
@@ -112,6 +113,7 @@
             remaining_bytes: self.remaining_bytes.get(),
             has_arrived,
             awaits_continue: self.expects_continue && !self.is_body_started.get(),
+            is_memory_low,
         };
         let handling = if self.is_body_read() { RestHandling::Discard } else { unread.handling() };
         self.set_rest(handling);
--- a/crates/proxy/src/client/phase.rs
+++ b/crates/proxy/src/client/phase.rs
@@ -71,6 +71,8 @@
     Closing,
     /// The client has sent nothing.
     Silent,
+    /// The response is written, and the client still sends a body that nobody reads.
+    Discarding,
     /// Between requests: a client sends a request again that crosses the close.
     Idle,
     /// Part of the first request has arrived, which would be lost.
--- a/crates/proxy/src/client/registry.rs
+++ b/crates/proxy/src/client/registry.rs
@@ -133,8 +133,8 @@
     }
 
     /// Evicts one connection and returns whether there was one to evict. Connections whose last
-    /// response is written come first, then those that have sent nothing, then idle ones, then
-    /// those that have sent part of their first request. Within each group the one that has been in
+    /// response is written come first, then those that have sent nothing, then those whose unread body
+    /// is discarded, then idle ones, then those that have sent part of their first request. Within each group the one that has been in
     /// its phase for longest is evicted, if that is at least `min_age`.
     ///
     /// Without eviction, clients that connect and send nothing could use up all connections. A
@@ -185,6 +185,9 @@
     }
 
     fn may_be_closed(&self, client: &Client) -> bool {
-        self.priority == EvictionPriority::Closing || !client.has_pending()
+        match self.priority {
+            EvictionPriority::Closing | EvictionPriority::Discarding => true,
+            _ => !client.has_pending(),
+        }
     }
 }
--- a/crates/proxy/src/client/request_memory.rs
+++ b/crates/proxy/src/client/request_memory.rs
@@ -72,6 +72,11 @@
         self.has_large_buffers.set(false);
     }
 
+    /// Returns whether the process economizes on memory.
+    pub(super) fn is_low(&self) -> bool {
+        self.budget.is_low()
+    }
+
     /// Returns the bytes of the connection, its request and its response.
     pub(super) fn bytes(&self) -> usize {
         self.buffers.bytes() + self.account.borrow().bytes()
--- a/crates/proxy/src/client/unread_body.rs
+++ b/crates/proxy/src/client/unread_body.rs
@@ -25,6 +25,8 @@
     pub has_arrived: bool,
     /// Whether the client may still wait for a `100 Continue` before it sends the body.
     pub awaits_continue: bool,
+    /// Whether memory is too short to wait for the rest with the buffers of a connection.
+    pub is_memory_low: bool,
 }
 
 impl UnreadBody {
@@ -34,7 +36,8 @@
         let is_bounded = self.remaining_bytes.is_some_and(|bytes| bytes <= MAX_DISCARDED_BYTES);
         // A client that gets its response instead of the `100 Continue` need not send the body, so
         // what follows may be the body or the next request (RFC 9110 10.1.1).
-        if self.has_arrived || (is_bounded && !self.awaits_continue) {
+        let is_worth_waiting = is_bounded && !self.awaits_continue && !self.is_memory_low;
+        if self.has_arrived || is_worth_waiting {
             RestHandling::Discard
         } else {
             RestHandling::Close
--- a/crates/proxy/tests/client_registry.rs
+++ b/crates/proxy/tests/client_registry.rs
@@ -38,12 +38,14 @@
 
 #[tokio::test(flavor = "current_thread")]
 async fn silent_clients_are_evicted_before_idle_ones_and_the_oldest_first() {
+    // A client that still sends a body that is discarded has its response: it comes in between.
     let clients = Clients::default();
     let (_a, idle) = connect(&clients, Phase::Idle).await;
     let (_b, older_silent) = connect(&clients, Phase::New).await;
     let (_c, younger_silent) = connect(&clients, Phase::New).await;
     let (_d, busy) = connect(&clients, Phase::Busy).await;
-    for expected in [&older_silent, &younger_silent, &idle] {
+    let (_e, discarding) = connect(&clients, Phase::Discarding).await;
+    for expected in [&older_silent, &younger_silent, &discarding, &idle] {
         assert!(!expected.eviction.is_cancelled());
         assert!(clients.evict_one(Duration::ZERO));
         assert!(expected.eviction.is_cancelled());
--- a/crates/proxy/tests/unread_body.rs
+++ b/crates/proxy/tests/unread_body.rs
@@ -8,19 +8,22 @@
     use RestHandling::{Close, Discard};
     let max = Some(MAX_DISCARDED_BYTES);
     let over = Some(MAX_DISCARDED_BYTES + 1);
-    for (remaining_bytes, has_arrived, awaits_continue, expected) in [
-        (Some(1), false, false, Discard),
-        (max, false, false, Discard),
-        (over, false, false, Close),
+    for (remaining_bytes, has_arrived, awaits_continue, is_memory_low, expected) in [
+        (Some(1), false, false, false, Discard),
+        (max, false, false, false, Discard),
+        (over, false, false, false, Close),
         // Without a stated length, how much will follow is unknown.
-        (None, false, false, Close),
-        (None, true, false, Discard),
+        (None, false, false, false, Close),
+        (None, true, false, false, Discard),
         // The client may send its next request instead of the body.
-        (Some(1), false, true, Close),
-        (None, false, true, Close),
-        (Some(1), true, true, Discard),
+        (Some(1), false, true, false, Close),
+        (None, false, true, false, Close),
+        (Some(1), true, true, false, Discard),
+        // Waiting takes the buffers of a connection; what has arrived need not be waited for.
+        (Some(1), false, false, true, Close),
+        (Some(1), true, false, true, Discard),
     ] {
-        let unread = UnreadBody { remaining_bytes, has_arrived, awaits_continue };
+        let unread = UnreadBody { remaining_bytes, has_arrived, awaits_continue, is_memory_low };
         assert_eq!(unread.handling(), expected, "{unread:?}");
     }
 }
