--- a/crates/proxy/src/client/request_body.rs
+++ b/crates/proxy/src/client/request_body.rs
@@ -92,11 +92,11 @@
     }
 }
 
-/// Discards as much of an unread body as the HTTP library has delivered.
-pub(super) fn discard_delivered(client: &Rc<Client>) {
+/// Discards as much of an unread body as the HTTP library has delivered. Returns false if more of it
+/// is to come.
+pub(super) fn discard_delivered(client: &Rc<Client>) -> bool {
     let discarded = pin!(discard_unread_body(client));
-    // What is not delivered by now stays unread.
-    let _: Poll<()> = discarded.poll(&mut Context::from_waker(Waker::noop()));
+    discarded.poll(&mut Context::from_waker(Waker::noop())).is_ready()
 }
 
 async fn discard_unread_body(client: &Rc<Client>) {
--- a/crates/proxy/src/client/serve.rs
+++ b/crates/proxy/src/client/serve.rs
@@ -217,11 +217,11 @@
         if client.upgrade.borrow().is_some() {
             return NextStep::Upgrade(read_ahead);
         }
-        discard_delivered(client);
         // The client may have sent another request before it could read `Connection: close`. That
         // request was received and has to get a response.
         let has_more = !read_ahead.is_empty() || pending(stream) == Pending::Bytes;
-        if has_more && self.draining.is_cancelled() && client.exchange().may_be_followed() {
+        let may_serve = has_more && self.draining.is_cancelled() && discard_delivered(client);
+        if may_serve && client.exchange().may_be_followed() {
             NextStep::ServeAgain(read_ahead)
         } else {
             NextStep::Close { mode: CloseMode::Graceful, reason: CloseReason::Ended }
