--- a/crates/proxy/src/client/closing.rs
+++ b/crates/proxy/src/client/closing.rs
@@ -105,15 +105,10 @@
     wait_until_closable(client, |phase| phase == Phase::Idle).await;
 }
 
-/// Waits until a connection is in a phase in which it may be closed and has no unread bytes, which
-/// are served first unless they are discarded.
+/// Waits until a connection is in a phase in which it may be closed and has no unread request, which
+/// is served first.
 async fn wait_until_closable(client: &Client, is_closable_in: impl Fn(Phase) -> bool) {
-    loop {
-        let phase = client.phase();
-        let is_unread = phase != Phase::Discarding && client.has_pending();
-        if is_closable_in(phase) && !is_unread {
-            return;
-        }
+    while !is_closable_in(client.phase()) || client.has_unread_request() {
         sleep(POLL_INTERVAL).await;
     }
 }
--- a/crates/proxy/src/client/connection.rs
+++ b/crates/proxy/src/client/connection.rs
@@ -1,22 +1,16 @@
 //! The state of one client connection that other modules use: its phase and its timeouts.
 
 use super::exchange::Exchange;
-use super::handler::ResponseBody;
 use super::head_scanner::RequestHeadScanner;
 use super::phase::EvictionPriority;
 pub use super::phase::{ClientTimeouts, Phase, SharedTimeout};
 use super::phase_timer::PhaseTimer;
-use super::request_body::ClientBody;
 pub use super::request_memory::RequestMemory;
 use super::scanned_head::ScannedHead;
-use super::unread_body::RestHandling;
 pub use super::upgrade::Upgrade;
 use crate::memory::{MemoryAccount, MemoryUse};
 use crate::tcp::{is_closed_by_peer, is_reset, pending, Pending, SharedStream, TrafficObserver};
 use crate::upstream::attempt_control::ResponseRecipient;
-use hyper::body::{Body, Incoming};
-use hyper::header::{self, HeaderValue};
-use hyper::{Request, Response, StatusCode};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -43,9 +37,9 @@
     /// Whether a client that has closed its write side still gets its response.
     allows_half_close: bool,
     /// Scans the request heads that arrive on the connection, ahead of the HTTP library.
-    scanner: RefCell<RequestHeadScanner>,
+    pub(super) scanner: RefCell<RequestHeadScanner>,
     /// The current request and its response.
-    exchange: RefCell<Rc<Exchange>>,
+    pub(super) exchange: RefCell<Rc<Exchange>>,
     /// Notified when a request body has been dropped before its end.
     pub(super) body_dropped: Notify,
     /// Whether the HTTP library has read the complete response body.
@@ -58,7 +52,7 @@
     pub(super) memory: RequestMemory,
     /// Time at which the response, or its last part, was passed to the kernel; `None` if no response
     /// is being written.
-    responding_since: Cell<Option<Instant>>,
+    pub(super) responding_since: Cell<Option<Instant>>,
     /// Whether the connection is to be closed behind the next response.
     closes_after_response: Cell<bool>,
     /// Notified when the connection is to give up its buffers, if it is idle.
@@ -180,87 +174,6 @@
         self.closes_after_response.get() || self.eviction.is_cancelled()
     }
 
-    /// Begins the exchange of a request that the HTTP library has delivered, and returns the request
-    /// for its handler. A pipelined request had arrived while the connection was busy.
-    pub(super) fn begin_request(
-        self: &Rc<Self>,
-        request: Request<Incoming>,
-    ) -> Request<ClientBody> {
-        if self.phase.get() == Phase::Discarding {
-            // The HTTP library has read the last body to its end, or there would be no next request.
-            self.end_exchange();
-        }
-        if self.phase.get() == Phase::Idle {
-            self.enter(Phase::Receiving);
-        }
-        let exchange = Rc::new(Exchange::begin(&request));
-        self.exchange.replace(exchange.clone());
-        request.map(|body| ClientBody::new(body, exchange, self.clone()))
-    }
-
-    /// Returns the current exchange.
-    pub(super) fn exchange(&self) -> Rc<Exchange> {
-        self.exchange.borrow().clone()
-    }
-
-    /// Decides whether the connection is closed behind a response that is about to be written, and
-    /// states it in the response. This is the only place that decides what becomes of a request body
-    /// that was not read.
-    pub(super) fn decide_close(&self, response: &mut Response<ResponseBody>, is_draining: bool) {
-        let exchange = self.exchange();
-        let is_upgrade = response.status() == StatusCode::SWITCHING_PROTOCOLS;
-        let stated = response.headers().get(header::CONNECTION);
-        if stated.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close")) {
-            // The handler does not trust what follows the request.
-            exchange.close_behind_response();
-        }
-        let rest = exchange.decide_rest(!self.is_in_body(), self.memory.is_low());
-        let closes = is_draining || self.closes_after_response() || rest == RestHandling::Close;
-        if closes && !is_upgrade {
-            let close = HeaderValue::from_static("close");
-            response.headers_mut().insert(header::CONNECTION, close);
-        }
-    }
-
-    /// Records that a response begins to be written.
-    pub(super) fn begin_response(&self, response: &Response<ResponseBody>) {
-        self.memory.count_response(response);
-        self.exchange().begin_response(response.body().size_hint().exact().is_some());
-        self.enter(Phase::Busy);
-        self.responding_since.set(Some(Instant::now()));
-    }
-
-    /// Records that the response has been written. The exchange lasts until its body is read.
-    fn finish_response(&self) {
-        self.responding_since.set(None);
-        let exchange = self.exchange();
-        exchange.finish_response();
-        if exchange.awaits_body_end() {
-            self.enter(Phase::Discarding);
-        } else {
-            self.end_exchange();
-        }
-    }
-
-    /// Ends an exchange whose body has been read to its end, if its response is written too.
-    pub(super) fn end_exchange_behind_body(&self, exchange: &Rc<Exchange>) {
-        let is_current = Rc::ptr_eq(&self.exchange.borrow(), exchange);
-        if is_current && self.phase.get() == Phase::Discarding {
-            self.end_exchange();
-            if self.holds_idle_buffers() {
-                // The HTTP library has read the end of the body already, and may not be polled again.
-                self.buffers_wanted.notify_one();
-            }
-        }
-    }
-
-    fn end_exchange(&self) {
-        // The beginning of the next request may have been read together with the last one.
-        let is_in_head = self.scanner.borrow().is_in_head();
-        self.enter(if is_in_head { Phase::Receiving } else { Phase::Idle });
-        self.memory.end_exchange();
-    }
-
     /// Returns the eviction priority of the connection; `None` while a request after the first is
     /// being received or a response is pending, when the connection may not be evicted.
     pub(super) fn eviction_priority(&self) -> Option<EvictionPriority> {
@@ -302,6 +215,11 @@
         self.scanner.take();
     }
 
+    /// Returns whether unread bytes may belong to a request that has to get a response.
+    pub(super) fn has_unread_request(&self) -> bool {
+        !matches!(self.phase.get(), Phase::Closing | Phase::Discarding) && self.has_pending()
+    }
+
     /// Returns whether the client has sent bytes that the sidecar has not read from the socket yet.
     pub fn has_pending(&self) -> bool {
         pending(&self.stream) == Pending::Bytes
--- a/crates/proxy/src/client/exchange.rs
+++ b/crates/proxy/src/client/exchange.rs
@@ -3,9 +3,9 @@
 //! The exchange ends when the response is written and the body has been read to its end. Only then
 //! do the bytes that follow on the connection belong to another request.
 
-use super::unread_body::{RestHandling, UnreadBody};
+use super::unread_body::{BodyDisposal, UnreadBody};
+use crate::headers::expects_continue;
 use hyper::body::{Body, Incoming};
-use hyper::header::{self, HeaderMap};
 use hyper::{Request, Version};
 use std::cell::{Cell, RefCell};
 
@@ -21,8 +21,9 @@
     remaining_bytes: Cell<Option<u64>>,
     /// The body, if its reader has dropped it before its end.
     dropped_body: RefCell<Option<Incoming>>,
-    /// What becomes of a body that is not read; `None` before the response begins.
-    rest_handling: Cell<Option<RestHandling>>,
+    /// What becomes of a body that is not read; `None` until that is decided, at the latest when the
+    /// response begins.
+    disposal: Cell<Option<BodyDisposal>>,
     /// Whether the client speaks HTTP/1.0, which has no chunks.
     is_http_10: bool,
     /// Whether the end of the connection is the end of the response.
@@ -42,7 +43,7 @@
             expects_continue: false,
             remaining_bytes: Cell::new(Some(0)),
             dropped_body: RefCell::default(),
-            rest_handling: Cell::default(),
+            disposal: Cell::default(),
             is_http_10: false,
             is_close_delimited: Cell::new(false),
             has_response_failed: Cell::new(false),
@@ -74,7 +75,7 @@
     }
 
     /// Returns whether a part of the body with a stated length has not been read.
-    pub(super) fn is_cut_off(&self) -> bool {
+    pub(super) fn has_remaining_bytes(&self) -> bool {
         self.remaining_bytes.get().is_some_and(|bytes| bytes > 0)
     }
 
@@ -91,45 +92,48 @@
     /// Keeps a body that its reader has dropped before its end. Without it, the HTTP library closes
     /// the connection or discards an unstated part of the body.
     pub(super) fn keep_dropped_body(&self, body: Incoming) {
-        if self.rest_handling.get() != Some(RestHandling::Close) {
+        if !self.closes_behind_response() {
             self.dropped_body.replace(Some(body));
         }
     }
 
     /// Takes the body that is to be discarded, if there is one.
     pub(super) fn take_discarded_body(&self) -> Option<Incoming> {
-        let is_discarded = self.rest_handling.get() == Some(RestHandling::Discard);
+        let is_discarded = self.disposal.get() == Some(BodyDisposal::Discard);
         is_discarded.then(|| self.dropped_body.take()).flatten()
     }
 
+    /// Returns whether what becomes of the rest of the body has still to be decided. A body that could
+    /// not be read closes the connection.
+    pub(super) fn is_body_undecided(&self) -> bool {
+        !self.is_body_read() && self.disposal.get().is_none()
+    }
+
     /// Decides, when the response begins, what becomes of a body that has not been read to its end;
     /// `has_arrived` is whether all of it has arrived, `is_memory_low` whether the process economizes
     /// on memory.
-    pub(super) fn decide_rest(&self, has_arrived: bool, is_memory_low: bool) -> RestHandling {
-        if self.rest_handling.get() == Some(RestHandling::Close) {
-            return RestHandling::Close;
-        }
+    pub(super) fn dispose_of_body(&self, has_arrived: bool, is_memory_low: bool) {
         let unread = UnreadBody {
             remaining_bytes: self.remaining_bytes.get(),
             has_arrived,
             awaits_continue: self.expects_continue && !self.is_body_started.get(),
             is_memory_low,
         };
-        let handling = if self.is_body_read() { RestHandling::Discard } else { unread.handling() };
-        self.set_rest(handling);
-        handling
+        match unread.disposal() {
+            BodyDisposal::Discard => self.disposal.set(Some(BodyDisposal::Discard)),
+            BodyDisposal::Close => self.close_behind_response(),
+        }
     }
 
     /// Closes the connection behind the response, whatever follows the request.
     pub(super) fn close_behind_response(&self) {
-        self.set_rest(RestHandling::Close);
+        self.disposal.set(Some(BodyDisposal::Close));
+        self.dropped_body.take();
     }
 
-    fn set_rest(&self, handling: RestHandling) {
-        self.rest_handling.set(Some(handling));
-        if handling == RestHandling::Close {
-            self.dropped_body.take();
-        }
+    /// Returns whether the connection is closed behind the response.
+    pub(super) fn closes_behind_response(&self) -> bool {
+        self.disposal.get() == Some(BodyDisposal::Close)
     }
 
     /// Records that a response begins; `has_length` is whether it states its length.
@@ -161,12 +165,6 @@
 
     /// Returns whether the bytes behind the request may be served as another request.
     pub(super) fn may_be_followed(&self) -> bool {
-        self.is_body_read() && self.rest_handling.get() != Some(RestHandling::Close)
+        self.is_body_read() && !self.closes_behind_response()
     }
 }
-
-/// Returns whether a client waits for a `100 Continue`, as the HTTP library has it.
-fn expects_continue(headers: &HeaderMap) -> bool {
-    let expect = headers.get(header::EXPECT);
-    expect.is_some_and(|expect| expect.as_bytes().eq_ignore_ascii_case(b"100-continue"))
-}
--- a/crates/proxy/src/client/mod.rs
+++ b/crates/proxy/src/client/mod.rs
@@ -1,6 +1,7 @@
 //! Client connections: accepting them, serving their requests and closing them.
 
 mod accept_queue;
+mod client_exchange;
 mod closing;
 pub mod connection;
 mod exchange;
--- a/crates/proxy/src/client/registry.rs
+++ b/crates/proxy/src/client/registry.rs
@@ -149,7 +149,7 @@
         // Checked one by one, as each check is a system call.
         while let Some(Reverse(candidate)) = candidates.pop() {
             let client = clients.get(&candidate.number);
-            if let Some(client) = client.filter(|client| candidate.may_be_closed(client)) {
+            if let Some(client) = client.filter(|client| !client.has_unread_request()) {
                 client.eviction.cancel();
                 return true;
             }
@@ -183,11 +183,4 @@
         let is_candidate = is_old && !client.eviction.is_cancelled();
         is_candidate.then_some(EvictionCandidate { priority, since, number })
     }
-
-    fn may_be_closed(&self, client: &Client) -> bool {
-        match self.priority {
-            EvictionPriority::Closing | EvictionPriority::Discarding => true,
-            _ => !client.has_pending(),
-        }
-    }
 }
--- a/crates/proxy/src/client/request_body.rs
+++ b/crates/proxy/src/client/request_body.rs
@@ -4,9 +4,10 @@
 use super::connection::Client;
 use super::exchange::Exchange;
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::convert::Infallible;
-use std::future::{poll_fn, Future};
+use std::future::Future;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
@@ -26,7 +27,7 @@
 
     /// Reads and discards the rest of the body.
     async fn discard(mut self) {
-        while let Some(Ok(_)) = poll_fn(|cx| Pin::new(&mut self).poll_frame(cx)).await {}
+        while let Some(Ok(_)) = self.frame().await {}
     }
 
     fn finish(&self) {
@@ -60,7 +61,7 @@
                 }
             }
             // A body that ends before its stated length belongs to a connection that has failed.
-            Poll::Ready(None) if !this.exchange.is_cut_off() => this.finish(),
+            Poll::Ready(None) if !this.exchange.has_remaining_bytes() => this.finish(),
             Poll::Ready(None) => this.exchange.close_behind_response(),
         }
         polled
--- a/crates/proxy/src/client/serve.rs
+++ b/crates/proxy/src/client/serve.rs
@@ -105,13 +105,7 @@
                     read_ahead = bytes;
                 }
                 NextStep::Close { mode, reason } => {
-                    debug!(peer = %client.peer, ?mode, ?reason, "closing client connection");
-                    reject_unread(&stream, &client, reason);
-                    if client.exchange().is_response_truncated() {
-                        reset_on_close(&stream);
-                    } else if mode == CloseMode::Graceful {
-                        close(&stream, &client).await;
-                    }
+                    close(&stream, &client, mode, reason).await;
                     break;
                 }
                 NextStep::Upgrade(bytes) => {
@@ -265,8 +259,19 @@
     }
 }
 
+/// Closes a connection in the way that its last response and the reason allow.
+async fn close(stream: &SharedStream, client: &Client, mode: CloseMode, reason: CloseReason) {
+    debug!(peer = %client.peer, ?mode, ?reason, "closing client connection");
+    reject_unread(stream, client, reason);
+    if client.exchange().is_response_truncated() {
+        reset_on_close(stream);
+    } else if mode == CloseMode::Graceful {
+        close_when_read(stream, client).await;
+    }
+}
+
 /// Closes a connection when its client has read everything or when it is evicted.
-async fn close(stream: &SharedStream, client: &Client) {
+async fn close_when_read(stream: &SharedStream, client: &Client) {
     let read_deadline = read_deadline(client);
     client.enter(Phase::Closing);
     let evicted = async {
--- a/crates/proxy/src/client/unread_body.rs
+++ b/crates/proxy/src/client/unread_body.rs
@@ -7,9 +7,9 @@
 /// Maximum number of bytes that are discarded in order to keep a connection.
 pub const MAX_DISCARDED_BYTES: u64 = 256 << 10;
 
-/// What becomes of the rest of a request body.
+/// The treatment of a request body that nobody reads.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RestHandling {
+pub enum BodyDisposal {
     /// The rest is read and discarded unless the handler still reads it; the connection is kept.
     Discard,
     /// The connection is closed behind the response.
@@ -32,15 +32,15 @@
 impl UnreadBody {
     /// Decides what becomes of the rest of the body.
     #[must_use]
-    pub fn handling(self) -> RestHandling {
+    pub fn disposal(self) -> BodyDisposal {
         let is_bounded = self.remaining_bytes.is_some_and(|bytes| bytes <= MAX_DISCARDED_BYTES);
         // A client that gets its response instead of the `100 Continue` need not send the body, so
         // what follows may be the body or the next request (RFC 9110 10.1.1).
-        let is_worth_waiting = is_bounded && !self.awaits_continue && !self.is_memory_low;
-        if self.has_arrived || is_worth_waiting {
-            RestHandling::Discard
+        let is_awaited = is_bounded && !self.awaits_continue && !self.is_memory_low;
+        if self.has_arrived || is_awaited {
+            BodyDisposal::Discard
         } else {
-            RestHandling::Close
+            BodyDisposal::Close
         }
     }
 }
--- a/crates/proxy/src/gateway/classify.rs
+++ b/crates/proxy/src/gateway/classify.rs
@@ -5,7 +5,7 @@
 use crate::client::connection::Client;
 use crate::client::request_body::ClientBody;
 use crate::client::scanned_head::ScannedHead;
-use crate::headers::cookie_pairs;
+use crate::headers::{cookie_pairs, expects_continue};
 use hyper::header::{self, HeaderMap};
 use hyper::http::uri::Authority;
 use hyper::{Method, Request, StatusCode, Version};
@@ -49,8 +49,8 @@
             let detail = "the path holds an element '.' or '..'";
             return Err(Rejection::new(StatusCode::BAD_REQUEST, "climbing-path", detail));
         }
-        let expect = request.headers().get(header::EXPECT);
-        if expect.is_some_and(|expect| !expect.as_bytes().eq_ignore_ascii_case(b"100-continue")) {
+        let headers = request.headers();
+        if headers.contains_key(header::EXPECT) && !expects_continue(headers) {
             let detail = "only 100-continue can be expected";
             return Err(Rejection::new(StatusCode::EXPECTATION_FAILED, "expectation", detail));
         }
--- a/crates/proxy/src/gateway/rejection.rs
+++ b/crates/proxy/src/gateway/rejection.rs
@@ -1,6 +1,7 @@
 //! Rejections of requests by this proxy, and their responses: problem details (RFC 9457).
 
 use crate::client::handler::ResponseBody;
+use crate::headers::close_connection;
 use bytes::Bytes;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{Response, StatusCode};
@@ -94,7 +95,7 @@
             headers.insert(name, value.clone());
         }
         if self.closes_connection {
-            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+            close_connection(headers);
         }
         response
     }
--- a/crates/proxy/src/gateway/request_body.rs
+++ b/crates/proxy/src/gateway/request_body.rs
@@ -9,11 +9,10 @@
 use crate::memory::MemoryUse;
 use crate::upstream::request_body::{RequestBody, StreamedBody};
 use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Frame};
 use hyper::StatusCode;
 use mintshelf_time::SECOND;
-use std::future::poll_fn;
-use std::pin::Pin;
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{timeout, timeout_at, Instant};
@@ -93,7 +92,7 @@
     let mut is_complete = false;
     let deadline = Instant::now() + COMPLETION_WAIT;
     while !is_complete && buffered.len() < plan.max_bytes.max(1) {
-        let next_frame = poll_fn(|cx| Pin::new(&mut *body).poll_frame(cx));
+        let next_frame = body.frame();
         let frame = match plan.is_short {
             true => Some(next_frame.await),
             false => timeout_at(deadline, next_frame).await.ok(),
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -67,6 +67,26 @@
     }
 }
 
+/// Returns whether a client waits for a `100 Continue` before it sends the body of its request.
+pub(crate) fn expects_continue(headers: &HeaderMap) -> bool {
+    has_value(headers, &header::EXPECT, b"100-continue")
+}
+
+/// States that the connection is closed behind a response.
+pub(crate) fn close_connection(headers: &mut HeaderMap) {
+    headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+}
+
+/// Returns whether a response states that its connection is closed behind it.
+pub(crate) fn closes_connection(headers: &HeaderMap) -> bool {
+    has_value(headers, &header::CONNECTION, b"close")
+}
+
+fn has_value(headers: &HeaderMap, name: &HeaderName, expected: &[u8]) -> bool {
+    let value = headers.get(name);
+    value.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(expected))
+}
+
 /// Returns a header's value without surrounding whitespace, if it is visible ASCII.
 pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok().map(str::trim)
--- a/crates/proxy/src/platform/handler.rs
+++ b/crates/proxy/src/platform/handler.rs
@@ -10,7 +10,7 @@
 use crate::client::scanned_head::ScannedHead;
 use crate::cluster::request::{RequestMetadata, RequestOutcome, UpstreamRequest};
 use crate::cluster::runtime::ClusterRuntime;
-use crate::headers::{strip_hop_by_hop, HEADERS_MAX};
+use crate::headers::{close_connection, strip_hop_by_hop, HEADERS_MAX};
 use crate::loop_monitor::LoopMonitor;
 use crate::platform_protocol::{READY_PATH, TRANSACTION_ID};
 use bytes::Bytes;
@@ -155,7 +155,7 @@
         };
         if head.ambiguity.is_some() || client.is_body_ambiguous() {
             // Where the next request begins is not known.
-            close_after(&mut response);
+            close_connection(response.headers_mut());
         }
         response
     }
@@ -172,10 +172,6 @@
     Ok(())
 }
 
-fn close_after(response: &mut Response<ResponseBody>) {
-    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-}
-
 fn ready_response(is_draining: bool) -> Response<ResponseBody> {
     if is_draining {
         text_response(StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"draining\n"))
@@ -213,7 +209,7 @@
 /// connection, as later bytes on the connection cannot be trusted either.
 fn rejected_response(rejected: &RejectedRequest) -> Response<ResponseBody> {
     let mut response = text_response(rejected.status, rejected.body());
-    close_after(&mut response);
+    close_connection(response.headers_mut());
     response
 }
 
--- a/crates/proxy/src/platform/request_body.rs
+++ b/crates/proxy/src/platform/request_body.rs
@@ -9,11 +9,10 @@
 use crate::memory::MemoryUse;
 use crate::upstream::request_body::RequestBody;
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::body::Body;
 use hyper::StatusCode;
 use mintshelf_time::Nanos;
-use std::future::poll_fn;
-use std::pin::Pin;
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{timeout, Instant};
@@ -49,7 +48,7 @@
     // In one piece: the memory has been admitted for all of it.
     let mut buffered = Vec::with_capacity(max_bytes);
     let mut permit: Option<OwnedSemaphorePermit> = None;
-    while let Some(frame) = poll_fn(|cx| Pin::new(&mut *body).poll_frame(cx)).await {
+    while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| RejectedRequest::bad_request("body\n"))?;
         let Ok(data) = frame.into_data() else { continue };
         if buffered.len() + data.len() > BODY_MAX {
--- a/crates/proxy/tests/unread_body.rs
+++ b/crates/proxy/tests/unread_body.rs
@@ -1,11 +1,11 @@
 //! What becomes of a request body that is not read to its end before the response begins.
 
 use mintshelf_proxy::client::head_scanner::RequestHeadScanner;
-use mintshelf_proxy::client::unread_body::{RestHandling, UnreadBody, MAX_DISCARDED_BYTES};
+use mintshelf_proxy::client::unread_body::{BodyDisposal, UnreadBody, MAX_DISCARDED_BYTES};
 
 #[test]
 fn a_rest_is_discarded_only_if_its_end_is_near_and_certain() {
-    use RestHandling::{Close, Discard};
+    use BodyDisposal::{Close, Discard};
     let max = Some(MAX_DISCARDED_BYTES);
     let over = Some(MAX_DISCARDED_BYTES + 1);
     for (remaining_bytes, has_arrived, awaits_continue, is_memory_low, expected) in [
@@ -24,7 +24,7 @@
         (Some(1), true, false, true, Discard),
     ] {
         let unread = UnreadBody { remaining_bytes, has_arrived, awaits_continue, is_memory_low };
-        assert_eq!(unread.handling(), expected, "{unread:?}");
+        assert_eq!(unread.disposal(), expected, "{unread:?}");
     }
 }
 
