Tests of the unread bodies share a fixture, and their readers of heads and connections

Need: unread_bodies.rs set up the same daemon six times and the same shutdown twice; four places read a head byte by byte, two a connection to its end.

Change: Fixture and Upload::plain in unread_bodies.rs; Message::read_head and read_to_end in test-support, which Message::read and read_to_close are built on and streaming.rs, handshakes.rs and failures.rs use. No assertion, bound or form of an upload is changed.

--- a/crates/mintshelf/tests/gateway/failures.rs
+++ b/crates/mintshelf/tests/gateway/failures.rs
@@ -2,11 +2,10 @@
 
 use crate::fixture::{daemon, file, PROGRAM};
 use mintshelf_test_support::{
-    connect, free_address, get, ok_response, read_some, read_to_close, Daemon, Message, Peer,
-    Server,
+    connect, free_address, get, ok_response, read_some, read_to_close, read_to_end, Daemon,
+    Message, Peer, Server,
 };
 use std::io::Write;
-use std::net::TcpStream;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -126,19 +125,6 @@
     Stalls,
 }
 
-/// The way in which a connection ended for a client that has read to its end.
-fn read_to_end(stream: &mut TcpStream) -> (usize, std::io::Result<()>) {
-    let mut buffer = vec![0; 64 << 10];
-    let mut received = 0;
-    loop {
-        match read_some(stream, &mut buffer) {
-            Ok(0) => return (received, Ok(())),
-            Ok(count) => received += count,
-            Err(error) => return (received, Err(error)),
-        }
-    }
-}
-
 // Guards against `review/10`: a client with HTTP/1.0 took a part of a response for the whole, as its
 // connection ended in good order.
 #[test]
@@ -170,7 +156,7 @@
         let (received, result) = read_to_end(&mut stream);
         let ended_in_order = result.is_ok();
         assert_eq!(ended_in_order, end == ResponseEnd::Complete, "{end:?}: {result:?}");
-        assert!(!ended_in_order || received > 2 * DATA.len(), "{received} bytes");
+        assert!(!ended_in_order || received.len() > 2 * DATA.len(), "{} bytes", received.len());
         // With chunks the end of the connection cannot be taken for the end of the response.
         let mut stream = connect(address).unwrap();
         stream.write_all(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").unwrap();
--- a/crates/mintshelf/tests/gateway/streaming.rs
+++ b/crates/mintshelf/tests/gateway/streaming.rs
@@ -12,19 +12,6 @@
 
 const BODY_BYTES: usize = 200 << 20;
 
-/// Reads a head byte by byte, so that nothing of the body is consumed; none at the connection's end.
-fn read_head(stream: &mut TcpStream) -> Option<String> {
-    let mut head = Vec::new();
-    let mut byte = [0];
-    while !head.ends_with(b"\r\n\r\n") {
-        if read_some(stream, &mut byte).unwrap_or(0) == 0 {
-            return None;
-        }
-        head.push(byte[0]);
-    }
-    Some(String::from_utf8_lossy(&head).into_owned())
-}
-
 /// Writes a body of the pattern.
 fn write_body(stream: &mut TcpStream) -> std::io::Result<()> {
     let block: Vec<u8> = (0..251 * 256).map(pattern).collect();
@@ -44,8 +31,8 @@
 
 /// Receives a body and responds with its length and whether it is the pattern, or sends one.
 fn serve(mut stream: TcpStream) {
-    let Some(head) = read_head(&mut stream) else { return };
-    if !head.starts_with("POST") {
+    let Some(request) = Message::read_head(&mut stream) else { return };
+    if !request.head.starts_with("POST") {
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {BODY_BYTES}\r\n\r\n");
         stream.write_all(head.as_bytes()).unwrap();
         let _ = write_body(&mut stream);
@@ -77,7 +64,7 @@
     assert_eq!(String::from_utf8_lossy(&response.body), format!("{BODY_BYTES} true"));
     let mut stream = connect(daemon.address).unwrap();
     stream.write_all(&get("/down")).unwrap();
-    read_head(&mut stream).unwrap();
+    Message::read_head(&mut stream).unwrap();
     let mut received = 0;
     let mut buffer = vec![0; 64 << 10];
     while received < BODY_BYTES {
--- a/crates/mintshelf/tests/unread_bodies.rs
+++ b/crates/mintshelf/tests/unread_bodies.rs
@@ -56,6 +56,11 @@
 }
 
 impl Upload {
+    /// An upload with a length, without `Expect`.
+    fn plain(body_bytes: usize, sending: Sending) -> Self {
+        Upload { body_bytes, is_chunked: false, expects_continue: false, sending }
+    }
+
     fn head(&self, start: &str, path: &str) -> Vec<u8> {
         let framing = match self.is_chunked {
             true => "Transfer-Encoding: chunked".to_string(),
@@ -96,9 +101,8 @@
     }
 }
 
-/// A client's connection, on which an upload is followed by another request.
+/// An upload that is followed by another request on its connection.
 struct Play<'a> {
-    address: SocketAddr,
     upload: Upload,
     head: Vec<u8>,
     recorded: &'a [u8],
@@ -128,10 +132,6 @@
         let next = Message::read(stream).expect("a response to the next request");
         (response, Some(next))
     }
-
-    fn run_on_new_connection(&self) -> (Message, Option<Message>) {
-        self.run(&mut connect(self.address).unwrap())
-    }
 }
 
 /// A request of the daemon's clients with an id, which its server sends back.
@@ -153,14 +153,10 @@
 
 /// A server that responds with 413 to the head of the one request of each connection, and then reads
 /// to the end.
-fn early_server(records: Arc<Mutex<Vec<u8>>>) -> Peer {
+fn early_server(records: Arc<Mutex<String>>) -> Peer {
     Peer::start(move |mut stream| {
-        let mut head = Vec::new();
-        let mut byte = [0];
-        while !head.ends_with(b"\r\n\r\n") && matches!(read_some(&mut stream, &mut byte), Ok(1)) {
-            head.push(byte[0]);
-        }
-        records.lock().unwrap().extend_from_slice(&head);
+        let Some(request) = Message::read_head(&mut stream) else { return };
+        records.lock().unwrap().push_str(&request.head);
         let response = b"HTTP/1.1 413 Content Too Large\r\nContent-Length: 0\r\n\
                          Connection: close\r\n\r\n";
         let _ = stream.write_all(response);
@@ -169,6 +165,44 @@
 }
 
 /// A daemon with a route for each way in which a request is answered before its body is read.
+struct Fixture {
+    /// The server of most routes.
+    server: Server,
+    /// The heads that the server of `/early` has got.
+    early_heads: Arc<Mutex<String>>,
+    _early: Peer,
+    daemon: Daemon,
+    admin: SocketAddr,
+}
+
+impl Fixture {
+    fn start() -> Self {
+        let server = Server::start(echo);
+        let early_heads = Arc::default();
+        let early = early_server(Arc::clone(&early_heads));
+        let admin = free_address();
+        let daemon = start_daemon(&server, &early, admin);
+        Fixture { server, early_heads, _early: early, daemon, admin }
+    }
+
+    /// Begins the shutdown behind a first request on a connection, and returns the connection.
+    fn shut_down_with_open_connection(&self) -> TcpStream {
+        let mut stream = connect(self.daemon.address).unwrap();
+        stream.write_all(&get("/gone")).unwrap();
+        assert_eq!(Message::read(&mut stream).unwrap().status(), 410);
+        self.daemon.signal("TERM");
+        thread::sleep(SETTLING_TIME);
+        stream
+    }
+
+    /// Checks that the server has run what was served of [`NEXT`], and nothing of a body.
+    fn assert_only_next_was_run(&self, served: usize) {
+        let ids = ids_of(&self.server);
+        assert!(!ids.contains(&RECORDED.to_string()), "{ids:?}");
+        assert_eq!(ids.iter().filter(|id| *id == NEXT).count(), served);
+    }
+}
+
 fn start_daemon(server: &Server, early: &Peer, admin: SocketAddr) -> Daemon {
     let address = free_address();
     let text = format!(
@@ -193,9 +227,7 @@
 // the connection got the responses to others.
 #[test]
 fn no_part_of_an_unread_body_is_run_by_the_daemon() {
-    let server = Server::start(echo);
-    let early = early_server(Arc::default());
-    let daemon = start_daemon(&server, &early, free_address());
+    let fixture = Fixture::start();
     let recorded = gateway_request("POST", "/devices/7/flash", RECORDED);
     let next = gateway_request("GET", "/devices/7", NEXT);
     let mut served = 0;
@@ -204,9 +236,8 @@
     {
         for upload in uploads() {
             let head = upload.head("POST", path);
-            let play =
-                Play { address: daemon.address, upload, head, recorded: &recorded, next: &next };
-            let (response, following) = play.run_on_new_connection();
+            let play = Play { upload, head, recorded: &recorded, next: &next };
+            let (response, following) = play.run(&mut connect(fixture.daemon.address).unwrap());
             assert_eq!(response.status(), status, "{path} {upload:?}");
             let is_kept = following.is_some();
             assert_eq!(is_kept, upload.keeps_connection().unwrap_or(is_kept), "{path} {upload:?}");
@@ -217,9 +248,7 @@
             }
         }
     }
-    let ids = ids_of(&server);
-    assert!(!ids.contains(&RECORDED.to_string()), "{ids:?}");
-    assert_eq!(ids.iter().filter(|id| *id == NEXT).count(), served);
+    fixture.assert_only_next_was_run(served);
 }
 
 /// Maximum time that a client which stops within a body may keep its connection.
@@ -228,12 +257,9 @@
 // Guards against a client that stops within a body that is discarded, and stays.
 #[test]
 fn a_client_that_stops_within_a_discarded_body_is_closed_in_time() {
-    let server = Server::start(echo);
-    let early = early_server(Arc::default());
-    let daemon = start_daemon(&server, &early, free_address());
-    let sending = Sending::Late;
-    let upload = Upload { body_bytes: 9_000, is_chunked: false, expects_continue: false, sending };
-    let mut stream = connect(daemon.address).unwrap();
+    let fixture = Fixture::start();
+    let upload = Upload::plain(9_000, Sending::Late);
+    let mut stream = connect(fixture.daemon.address).unwrap();
     stream.write_all(&gateway_request("GET", "/devices/7", "first")).unwrap();
     assert_eq!(Message::read(&mut stream).unwrap().status(), 200);
     stream.write_all(&[upload.head("POST", "/gone"), b"x".repeat(100)].concat()).unwrap();
@@ -256,8 +282,7 @@
          [[routes]]\nname = \"gone\"\nrespond = {{ status = 410 }}\n"
     );
     let daemon = Daemon::start(PROGRAM, address, &text, &[]);
-    let sending = Sending::Late;
-    let upload = Upload { body_bytes: 9_000, is_chunked: false, expects_continue: false, sending };
+    let upload = Upload::plain(9_000, Sending::Late);
     let request = [upload.head("POST", "/"), b"x".repeat(100)].concat();
     let started_at = Instant::now();
     let mut stopped = Vec::new();
@@ -273,10 +298,7 @@
 // The same where a server responds while the upload still goes on.
 #[test]
 fn no_part_of_an_upload_that_its_server_answers_early_is_run() {
-    let server = Server::start(echo);
-    let records = Arc::default();
-    let early = early_server(Arc::clone(&records));
-    let daemon = start_daemon(&server, &early, free_address());
+    let fixture = Fixture::start();
     let recorded = gateway_request("POST", "/devices/7/flash", RECORDED);
     let next = gateway_request("GET", "/devices/7", NEXT);
     let mut served = 0;
@@ -286,8 +308,8 @@
             continue;
         }
         let head = upload.head("POST", "/early");
-        let play = Play { address: daemon.address, upload, head, recorded: &recorded, next: &next };
-        let (response, following) = play.run_on_new_connection();
+        let play = Play { upload, head, recorded: &recorded, next: &next };
+        let (response, following) = play.run(&mut connect(fixture.daemon.address).unwrap());
         assert!([413, 502].contains(&response.status()), "{upload:?}: {}", response.head);
         if let Some(following) = following {
             assert_eq!(
@@ -298,10 +320,8 @@
             served += 1;
         }
     }
-    let ids = ids_of(&server);
-    assert!(!ids.contains(&RECORDED.to_string()), "{ids:?}");
-    assert_eq!(ids.iter().filter(|id| *id == NEXT).count(), served);
-    let heads = String::from_utf8_lossy(&records.lock().unwrap()).into_owned();
+    fixture.assert_only_next_was_run(served);
+    let heads = fixture.early_heads.lock().unwrap().clone();
     assert!(heads.contains("upload") && !heads.contains(RECORDED), "{heads}");
 }
 
@@ -311,36 +331,23 @@
 fn no_part_of_an_unread_body_is_run_during_the_shutdown() {
     let recorded = gateway_request("POST", "/devices/7/flash", RECORDED);
     for upload in uploads() {
-        let server = Server::start(echo);
-        let early = early_server(Arc::default());
-        let daemon = start_daemon(&server, &early, free_address());
-        let mut stream = connect(daemon.address).unwrap();
-        stream.write_all(&get("/gone")).unwrap();
-        assert_eq!(Message::read(&mut stream).unwrap().status(), 410);
-        daemon.signal("TERM");
-        thread::sleep(SETTLING_TIME);
+        let fixture = Fixture::start();
+        let mut stream = fixture.shut_down_with_open_connection();
         let head = upload.head("POST", "/gone");
-        let play = Play { address: daemon.address, upload, head, recorded: &recorded, next: b"" };
+        let play = Play { upload, head, recorded: &recorded, next: b"" };
         let (response, following) = play.run(&mut stream);
         assert_eq!(response.status(), 410, "{upload:?}");
         assert!(following.is_none(), "{upload:?}");
-        assert!(!ids_of(&server).contains(&RECORDED.to_string()), "{upload:?}");
+        assert!(!ids_of(&fixture.server).contains(&RECORDED.to_string()), "{upload:?}");
     }
 }
 
 // A request behind a body that is discarded is served in the shutdown: it was read.
 #[test]
 fn a_request_behind_a_discarded_body_is_served_during_the_shutdown() {
-    let server = Server::start(echo);
-    let early = early_server(Arc::default());
-    let daemon = start_daemon(&server, &early, free_address());
-    let mut stream = connect(daemon.address).unwrap();
-    stream.write_all(&get("/gone")).unwrap();
-    assert_eq!(Message::read(&mut stream).unwrap().status(), 410);
-    daemon.signal("TERM");
-    thread::sleep(SETTLING_TIME);
-    let sending = Sending::WithHead;
-    let upload = Upload { body_bytes: 9_000, is_chunked: false, expects_continue: false, sending };
+    let fixture = Fixture::start();
+    let mut stream = fixture.shut_down_with_open_connection();
+    let upload = Upload::plain(9_000, Sending::WithHead);
     let recorded = gateway_request("POST", "/devices/7/flash", RECORDED);
     let next = gateway_request("GET", "/devices/7", NEXT);
     let bytes = [upload.head("POST", "/gone"), upload.body(&recorded), next].concat();
@@ -349,21 +356,18 @@
     let following = Message::read(&mut stream).expect("a response to the request that was read");
     assert_eq!((following.status(), &*following.body), (200, NEXT.as_bytes()));
     assert!(read_to_close(&mut stream).is_empty());
-    assert!(!ids_of(&server).contains(&RECORDED.to_string()));
+    assert!(!ids_of(&fixture.server).contains(&RECORDED.to_string()));
 }
 
 #[test]
 fn no_part_of_an_unread_body_is_answered_by_the_admin_listener() {
-    let server = Server::start(echo);
-    let early = early_server(Arc::default());
-    let admin = free_address();
-    let _daemon = start_daemon(&server, &early, admin);
+    let fixture = Fixture::start();
     for (method, path, status) in [("POST", "/-/ready", 405), ("GET", "/-/ready", 200)] {
         for upload in uploads() {
             let head = upload.head(method, path);
             let (recorded, next) = (get("/-/ready"), get("/-/none"));
-            let play = Play { address: admin, upload, head, recorded: &recorded, next: &next };
-            let (response, following) = play.run_on_new_connection();
+            let play = Play { upload, head, recorded: &recorded, next: &next };
+            let (response, following) = play.run(&mut connect(fixture.admin).unwrap());
             assert_eq!(response.status(), status, "{method} {upload:?}");
             let status = following.map_or(404, |following| following.status());
             assert_eq!(status, 404, "the response to another request: {method} {upload:?}");
@@ -410,8 +414,7 @@
             let (recorded, next) = (request("unsafe", RECORDED), request("safe", NEXT));
             let next = if is_draining { &[] } else { next.as_slice() };
             for (head, stream) in heads.into_iter().zip(&mut streams) {
-                let play =
-                    Play { address: sidecar.address, upload, head, recorded: &recorded, next };
+                let play = Play { upload, head, recorded: &recorded, next };
                 let (_, following) = play.run(stream);
                 assert!(following.is_none_or(|next| next.status() == 200), "{upload:?}");
             }
--- a/crates/mintshelf/tests/websocket/handshakes.rs
+++ b/crates/mintshelf/tests/websocket/handshakes.rs
@@ -69,13 +69,8 @@
     let request_count = Arc::new(AtomicUsize::new(0));
     let counted = request_count.clone();
     let server = Peer::start(move |mut stream| {
-        let mut head = Vec::new();
-        let mut byte = [0];
-        while !head.ends_with(b"\r\n\r\n") && stream.read(&mut byte).is_ok_and(|count| count == 1) {
-            head.push(byte[0]);
-        }
+        let Some(request) = Message::read_head(&mut stream) else { return };
         counted.fetch_add(1, Ordering::SeqCst);
-        let request = Message { head: String::from_utf8(head).unwrap(), ..Message::default() };
         let accept = accept_of(&request);
         let _ = write!(stream, "{ACCEPTED}Sec-WebSocket-Accept: {accept}\r\n\r\n");
         while stream.read(&mut [0; 4096]).is_ok_and(|count| count > 0) {}
--- a/crates/test-support/src/client.rs
+++ b/crates/test-support/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::message::{get, read_some, Message};
 use crate::wait::TEST_TIMEOUT;
-use std::io::{ErrorKind, Write};
+use std::io::{self, ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -58,14 +58,22 @@
 /// # Panics
 /// Reading fails for another reason, as after [`TEST_TIMEOUT`].
 pub fn read_to_close(stream: &mut TcpStream) -> Vec<u8> {
+    match read_to_end(stream) {
+        (bytes, Ok(())) => bytes,
+        (bytes, Err(error)) if error.kind() == ErrorKind::ConnectionReset => bytes,
+        (_, Err(error)) => panic!("neither closed nor reset: {error}"),
+    }
+}
+
+/// Reads until the other side closes the connection or reading fails; the bytes, and how it ended.
+pub fn read_to_end(stream: &mut TcpStream) -> (Vec<u8>, io::Result<()>) {
     let mut bytes = Vec::new();
     let mut buffer = [0; 4096];
     loop {
         match read_some(stream, &mut buffer) {
-            Ok(0) => return bytes,
+            Ok(0) => return (bytes, Ok(())),
             Ok(count) => bytes.extend_from_slice(&buffer[..count]),
-            Err(error) if error.kind() == ErrorKind::ConnectionReset => return bytes,
-            Err(error) => panic!("neither closed nor reset: {error}"),
+            Err(error) => return (bytes, Err(error)),
         }
     }
 }
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -24,7 +24,8 @@
 
 pub use addresses::free_address;
 pub use client::{
-    connect, metric, read_to_close, request, request_with_timeout, reset_connection, send_request,
+    connect, metric, read_to_close, read_to_end, request, request_with_timeout, reset_connection,
+    send_request,
 };
 pub use crowd::{Crowd, CrowdPlan};
 #[doc(hidden)]
--- a/crates/test-support/src/message.rs
+++ b/crates/test-support/src/message.rs
@@ -60,11 +60,8 @@
         Duration::from_millis(wait.flatten().map_or(0, |wait| wait.parse().unwrap()))
     }
 
-    /// Reads the next message; none at the end of the connection.
-    ///
-    /// # Panics
-    /// `Content-Length` is not a number.
-    pub fn read(stream: &mut TcpStream) -> Option<Message> {
+    /// Reads the head of the next message, and nothing behind it; none at the end of the connection.
+    pub fn read_head(stream: &mut TcpStream) -> Option<Message> {
         let mut head = Vec::new();
         let mut byte = [0];
         while !head.ends_with(b"\r\n\r\n") {
@@ -74,7 +71,15 @@
             head.push(byte[0]);
         }
         let head = String::from_utf8_lossy(&head).into_owned();
-        let mut message = Message { head, body: Vec::new() };
+        Some(Message { head, body: Vec::new() })
+    }
+
+    /// Reads the next message; none at the end of the connection.
+    ///
+    /// # Panics
+    /// `Content-Length` is not a number.
+    pub fn read(stream: &mut TcpStream) -> Option<Message> {
+        let mut message = Message::read_head(stream)?;
         let length = message.header("content-length").map_or(0, |length| length.parse().unwrap());
         message.body = vec![0; length];
         stream.read_exact(&mut message.body).ok()?;
